--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,260 @@
+package policy
+
+// What is known is kept here: jobs in hand, hosts, who holds which beginning. Nothing here decides.
+
+type phase uint8
+
+const (
+	toRead phase = iota
+	toWrite
+	streaming
+)
+
+// noHost stands for no host at all.
+const noHost = int32(-1)
+
+type job struct {
+	Job
+	phase    phase
+	used     bool
+	queued   bool // waits in the work queue
+	over     bool // finally answered, or its client left
+	out      bool // a launch is out
+	withdrew bool // its launch was recalled
+	held     bool // a state or place is held for it
+	unsplit  bool // its launch both reads and answers
+	mayRun   bool // some launch may have run
+	launches int32
+	at       int32 // host of the launch that is out
+	reader   int32 // host that holds the state
+	ranAt    int32 // host of the first launch that may have run
+	shunned  [4]int32
+	nshunned int32
+	tokens   int64 // counted as queued at the reader
+	born     Nanos
+	sent     Nanos // when the launch that is out was sent
+	ranSince Nanos
+	heldFrom Nanos
+	due      Nanos // to be looked at again
+	expected Nanos // expected time of this job, whole
+}
+
+func (j *job) shun(h int32) {
+	j.shunned[j.nshunned%int32(len(j.shunned))] = h
+	j.nshunned++
+}
+
+func (j *job) shuns(h int32) bool {
+	for i := int32(0); i < j.nshunned && i < int32(len(j.shunned)); i++ {
+		if j.shunned[i] == h {
+			return true
+		}
+	}
+	return false
+}
+
+// slab keeps jobs in reused places.
+type slab struct {
+	jobs []job
+	free []int32
+	byID map[JobID]int32
+	work []int32 // slots that want a decision, first come first
+	head int
+}
+
+func newSlab() slab { return slab{byID: make(map[JobID]int32)} }
+
+func (s *slab) add(given Job) int32 {
+	var slot int32
+	if n := len(s.free); n > 0 {
+		slot, s.free = s.free[n-1], s.free[:n-1]
+	} else {
+		slot = int32(len(s.jobs))
+		s.jobs = append(s.jobs, job{})
+	}
+	s.jobs[slot] = job{Job: given, used: true, at: noHost, reader: noHost, ranAt: noHost}
+	s.byID[given.ID] = slot
+	return slot
+}
+
+func (s *slab) drop(slot int32) {
+	delete(s.byID, s.jobs[slot].ID)
+	s.jobs[slot].used = false
+	s.free = append(s.free, slot)
+}
+
+func (s *slab) find(id JobID) (int32, *job) {
+	if slot, ok := s.byID[id]; ok {
+		return slot, &s.jobs[slot]
+	}
+	return -1, nil
+}
+
+func (s *slab) enqueue(slot int32) {
+	if j := &s.jobs[slot]; !j.queued {
+		j.queued = true
+		s.work = append(s.work, slot)
+	}
+}
+
+func (s *slab) peek() (int32, bool) {
+	if s.head == len(s.work) {
+		s.work, s.head = s.work[:0], 0
+		return 0, false
+	}
+	return s.work[s.head], true
+}
+
+func (s *slab) dequeue() {
+	s.jobs[s.work[s.head]].queued = false
+	s.head++
+}
+
+type host struct {
+	id       HostID
+	zone     ZoneID
+	cell     CellID
+	role     Role
+	health   Health
+	launched Nanos   // last known start; 0 = long ago
+	queued   int64   // own prompt tokens sent there and not yet read
+	out      int32   // own launches there that have not answered
+	streams  int32   // own jobs there as a writer, begun or not
+	moved    Nanos   // last answer, or first launch since it stood idle
+	longest  Nanos   // longest expected time among the launches out
+	answers  gauge   // answer time over the job's expected time
+	doubt    float64 // share of recent launches that failed
+	aside    Nanos   // set aside until then
+	spell    Nanos   // length of the last spell aside
+	downed   bool    // has not answered since it could not be reached
+	fullTill Nanos
+	load     Load
+	loadAt   Nanos
+	sent     flow // own launches to it
+	carried  flow // of those, the ones it answered
+}
+
+// gauge follows a high quantile of what it sees.
+type gauge struct {
+	q float64
+	n int32
+}
+
+func (g *gauge) see(x, quantile, step float64) {
+	switch {
+	case g.n == 0:
+		g.q = x
+	case x > g.q:
+		g.q *= 1 + step*quantile
+	default:
+		g.q *= 1 - step*(1-quantile)
+	}
+	g.n++
+}
+
+const flowParts = 8
+
+// flow counts launches over a sliding window.
+type flow struct {
+	parts [flowParts]int32
+	last  int64
+}
+
+func (f *flow) roll(now, window Nanos) {
+	part := int64(now / max(window/flowParts, 1))
+	for f.last < part {
+		f.last++
+		f.parts[f.last%flowParts] = 0
+		if part-f.last > flowParts {
+			f.last = part - flowParts
+		}
+	}
+}
+
+func (f *flow) add(now, window Nanos) {
+	f.roll(now, window)
+	f.parts[f.last%flowParts]++
+}
+
+func (f *flow) sum(now, window Nanos) int32 {
+	f.roll(now, window)
+	total := int32(0)
+	for _, n := range f.parts {
+		total += n
+	}
+	return total
+}
+
+// holder marks a host as holding a beginning of some length, until a time.
+type holder struct {
+	until  Nanos
+	host   int32
+	tokens int32
+}
+
+// beginnings remembers which hosts hold which beginning; of more than fit, the oldest mark goes.
+type beginnings struct{ by map[uint64][8]holder }
+
+func newBeginnings() beginnings { return beginnings{by: make(map[uint64][8]holder)} }
+
+func (b *beginnings) mark(key uint64, h int32, tokens int64, until Nanos) {
+	list := b.by[key]
+	at := 0
+	for i, e := range list {
+		if e.until > 0 && e.host == h {
+			at = i
+			break
+		}
+		if e.until < list[at].until {
+			at = i
+		}
+	}
+	list[at] = holder{until, h, int32(tokens)}
+	b.by[key] = list
+}
+
+func (b *beginnings) held(now Nanos, key uint64, h int32) int64 {
+	for _, e := range b.by[key] {
+		if e.until > now && e.host == h {
+			return int64(e.tokens)
+		}
+	}
+	return 0
+}
+
+// forget drops a host that has lost what it kept.
+func (b *beginnings) forget(h int32) {
+	for key, list := range b.by {
+		for i := range list {
+			if list[i].host == h {
+				list[i] = holder{}
+			}
+		}
+		b.by[key] = list
+	}
+}
+
+// sweep drops beginnings that nobody holds any more.
+func (b *beginnings) sweep(now Nanos) {
+	for key, list := range b.by {
+		live := false
+		for _, e := range list {
+			live = live || e.until > now
+		}
+		if !live {
+			delete(b.by, key)
+		}
+	}
+}
+
+// chance is a permuted congruential generator (PCG-XSH-RR 64/32).
+type chance struct{ state uint64 }
+
+func (c *chance) below(n int32) int32 {
+	old := c.state
+	c.state = old*6364136223846793005 + 1442695040888963407
+	x := uint32(((old >> 18) ^ old) >> 27)
+	rot := uint32(old >> 59)
+	x = x>>rot | x<<((32-rot)&31)
+	return int32(uint64(x) * uint64(n) >> 32)
+}
