Health by recent answer windows and stream pace; silence recalls launches

Now the last 16 fresh answers count, with a floor in expected times, and a host is set aside for a doubling spell.

--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -315,9 +315,9 @@
 	case "JOB_IN":
 		return h.jobIn(&f, in)
 	case "ACCEPTED":
-		id, _, _, elapsed := f.whole("txn"), f.whole("shot"), f.whole("host"), f.whole("elapsed_ns")
+		id, shot, _, elapsed := f.whole("txn"), f.whole("shot"), f.whole("host"), f.whole("elapsed_ns")
 		if f.err == nil && in != nil {
-			in.guarded(func() { in.d.StreamBegan(h.now, policy.JobID(id), policy.Nanos(elapsed)) })
+			in.guarded(func() { in.d.StreamBegan(h.now, policy.JobID(id), policy.Shot(shot), policy.Nanos(elapsed)) })
 		}
 	case "VERDICT":
 		id, shot, _ := f.whole("txn"), f.whole("shot"), f.whole("host")
@@ -423,7 +423,7 @@
 			return e.err
 		}
 		in.guarded(func() {
-			in.d.HostListed(h.now, policy.HostID(id), policy.ZoneID(zone), policy.KindID(kind), policy.CellID(cell),
+			in.d.HostListed(policy.HostID(id), policy.ZoneID(zone), policy.KindID(kind), policy.CellID(cell),
 				health, policy.Nanos(launched))
 		})
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,28 +1,32 @@
 package policy
 
-// Every decision of docksail is in this file; its interface is in types.go, what is remembered in state.go.
-//
-// To call it: New once for each dispatcher, then, as things happen, the methods that tell it (ListBegin ..
-// ListEnd, JobArrived, StreamBegan, LaunchEnded, ClientLeft, Woken). They only update what is known. After them
-// call Next until it has no further decision. All times are the host's; the module reads no clock of its own.
-
-import "fmt"
+// Every decision of docksail is in this file; its interface is types.go, and told.go takes down what needs no
+// judgement. To call it: New once for each dispatcher, then, as things happen, the methods that tell it (ListBegin,
+// HostListed, ListEnd, ListFailed, JobArrived, StreamBegan, LaunchEnded, ClientLeft, Woken). They only update what
+// is known. After them call Next until it has no further decision. The module reads no clock of its own.
+
+import (
+	"fmt"
+	"slices"
+)
 
-// Ratios that the parts below share, each with its reason.
 const (
-	gateFactor  = 2    // affinity yields when its holder has this multiple of the shortest queue (design page)
-	keepMarks   = 30   // seconds that a beginning is believed held after its last use (design page)
-	shortPrompt = 2000 // unshared prompt tokens under which a mixed host reads by itself (design page)
-	nearStreams = 1    // writers within so many streams of the fewest are chosen by nearness (design page)
-
-	highQuantile = 0.9 // answer times are judged by this quantile: one slow job in ten is no verdict
-	quantileStep = 0.3 // a host that turns 5 times slower shows within seven answers
-	slowAgainst  = 3.0 // times its fellows' median quantile: load makes 2, sickness 4 and more
-	stallAgainst = 4.0 // silence of so many high answer times of its role is no chance
-	failKeep     = 0.8 // weight of the past in a host's share of failures
-	failLimit    = 0.3 // two failures in a row from clean, or one launch in three
-	coldMargin   = 0.5 // of what topples a cold host: the rest is for the dispatchers that can't be seen
-	holdMargin   = 0.6 // of the time for letting go that a held state may wait
+	gateFactor  = 2        // affinity yields once its holder has this multiple of the shortest queue (design page)
+	keepMarks   = 30 * 1e9 // a beginning is believed held so long after its last use (design page)
+	shortPrompt = 2000     // unshared prompt tokens under which a mixed host reads by itself (design page)
+	nearStreams = 1        // writers within so many streams of the fewest are chosen by nearness (design page)
+
+	highQuantile = 0.9     // answer times are judged by this quantile: one slow job in ten is no verdict
+	slowAgainst  = 3.0     // times its fellows' median: uneven load makes 2, sickness 4 and more
+	slowHarms    = 1.0 / 3 // of the expected time: answers faster than that harm nobody, whatever fellows do
+	paceAgainst  = 2.5     // times its fellows' stream time for the same work; lengths vary by less over a few streams
+	stallAgainst = 4.0     // silence of so many usual answer times is no chance
+	stallFloor   = 1.0 / 8 // of the expected time, taken as the usual answer time while hosts are quicker
+	failKeep     = 0.8     // weight of the past in a host's share of failures
+	failLimit    = 0.3     // two failures in a row from clean, or one launch in three
+	mostAside    = 3       // one host in so many of a role may be set aside for being slow: the rest must bear its load
+	coldMargin   = 0.5     // of what topples a cold host: the rest is for the dispatchers that can't be seen
+	holdMargin   = 0.6     // of the time for letting go that a held state may wait
 )
 
 // Dispatcher decides for one dispatcher. It shares nothing with others.
@@ -42,14 +46,16 @@
 	hosts    []host
 	byID     map[HostID]int32
 	holds    beginnings
-	answers  [roleCount]gauge   // answer time over expected time, all hosts of a role
-	fellows  [roleCount]float64 // median over hosts of their high quantile
-	step     Nanos              // time between two looks at everything in hand
-	wakeAt   Nanos              // the earliest Wake asked for; Never = none
-	lookAt   Nanos              // next look at everything in hand
+	usual    [roleCount]float64 // median over hosts of their high answer times, as shares of the expected time
+	pace     [roleCount]float64 // median over hosts of their stream time for a unit of work
+	lasts    Nanos              // usual length of a stream
+	step     Nanos              // longest time between two looks at everything in hand
+	lookedAt Nanos
+	lookAt   Nanos // next look at everything in hand
+	wakeAt   Nanos // the Wake that is out; Never = none
 	watching bool
 	watchAt  Nanos
-	fullList bool
+	says     []string // lines for the log
 	scratch  []float64
 }
 
@@ -71,7 +77,7 @@
 	shortest := release
 	for i, t := range tracks {
 		if t.Expected <= 0 || t.Patience <= 0 {
-			return nil, fmt.Errorf("track %d: expected time %d and patience %d must be above 0", i, t.Expected, t.Patience)
+			return nil, fmt.Errorf("track %d: expected time %d and patience %d: want both above 0", i, t.Expected, t.Patience)
 		}
 		shortest = min(shortest, t.Expected)
 	}
@@ -84,63 +90,12 @@
 	return d, nil
 }
 
-// ---- What is told. These only update what is known.
-
-// ListBegin opens news of the list; full lists name every host that there is.
-func (d *Dispatcher) ListBegin(full bool) {
-	d.fullList = full
-	if full {
-		for i := range d.hosts {
-			d.hosts[i].health = Gone
-		}
-	}
-}
-
-// HostListed is one entry of the news.
-func (d *Dispatcher) HostListed(now Nanos, id HostID, zone ZoneID, kind KindID, cell CellID, health Health, launched Nanos) {
-	i, ok := d.byID[id]
-	if !ok {
-		i = int32(len(d.hosts))
-		d.byID[id] = i
-		d.hosts = append(d.hosts, host{id: id, load: NoLoad})
-	}
-	h := &d.hosts[i]
-	if launched > h.launched && ok {
-		d.holds.forget(i) // a new process has kept nothing, and no old verdict on it holds
-		h.queued, h.doubt, h.aside, h.spell, h.answers, h.load = 0, 0, 0, 0, gauge{}, NoLoad
-	}
-	h.zone, h.cell, h.health, h.launched = zone, cell, health, max(launched, h.launched)
-	if int(kind) < len(d.roles) {
-		h.role = d.roles[kind]
-	}
-}
-
-// ListEnd closes the news; ListFailed tells that it could not be had.
-func (d *Dispatcher) ListEnd(now Nanos) { d.look(now) }
+// ---- What is told, where judgement goes in.
 
+// ListFailed tells that the list could not be had.
 func (d *Dispatcher) ListFailed(now Nanos) {
 	d.watching, d.watchAt = false, now+d.listing.Within/8 // early enough for several more tries
-	d.look(now)
-}
-
-// JobArrived hands over a job; from now on it is owed one final answer.
-func (d *Dispatcher) JobArrived(now Nanos, given Job) {
-	slot := d.jobs.add(given)
-	j := &d.jobs.jobs[slot]
-	t := &d.tracks[j.Track]
-	j.born = now
-	j.expected = t.Expected + t.ExpectedPer1k*Nanos(j.Prompt)/1000
-	d.jobs.enqueue(slot)
-}
-
-// StreamBegan tells that a launch's answer has begun: from now on it has no deadline.
-func (d *Dispatcher) StreamBegan(now Nanos, id JobID, elapsed Nanos) {
-	_, j := d.jobs.find(id)
-	if j == nil || !j.out || j.phase == streaming {
-		return
-	}
-	d.answered(now, j, elapsed, true)
-	j.phase, j.held, j.due = streaming, false, Never
+	d.lookAt = min(d.lookAt, d.watchAt)
 }
 
 // LaunchEnded tells how a launch ended; over, that the job is finally answered.
@@ -153,150 +108,174 @@
 	if load != NoLoad {
 		h.load, h.loadAt = load, now
 	}
-	if j.phase != streaming {
+	d.judge(now, h, j, how)
+	if j.phase == streaming {
+		if h.begun--; how == Honoured {
+			h.done += float64(work(j, &d.tracks[j.Track]))
+			d.lasts += (elapsed - d.lasts) / 16 // a few dozen streams
+		}
+	} else {
 		d.answered(now, j, elapsed, how == Read || how == Honoured)
 	}
-	d.judge(now, h, j, how)
-	if j.phase == toWrite || j.phase == streaming || j.unsplit {
+	if j.phase != toRead || j.unsplit {
 		h.streams--
 	}
-	if (how == Failed || how == Late || how == Broken || how == Recalled) && (h.role != Reader) && !j.mayRun {
+	if (how == Failed || how == Late || how == Broken || how == Recalled) && h.role != Reader && !j.mayRun {
 		j.mayRun, j.ranAt, j.ranSince = true, j.at, j.sent
 	}
-	j.out, j.over, j.due = false, j.over || over, now
+	if how != Read && how != Stateless {
+		j.shun(j.at)
+	}
 	switch {
 	case how == Read:
 		j.phase, j.reader, j.held, j.heldFrom = toWrite, j.at, true, now
-	case how == Stateless:
-		j.phase, j.heldFrom = toRead, now // the state may be cut off rather than gone: it is let go before the next read
+	case how == Stateless: // the state may be cut off rather than gone: it is let go before the next read
+		j.phase, j.heldFrom = toRead, now
 		j.shun(j.reader)
 	case j.phase == streaming:
-		j.over = true
-	case j.held && how != NotSent:
-		j.heldFrom = now
-	case j.held:
-	default:
+		over = true
+	case !j.held:
 		j.phase = toRead
+	case how != NotSent:
+		j.heldFrom = now
 	}
-	if how != Read && how != Stateless {
-		j.shun(j.at)
-	}
-	j.at, j.unsplit = noHost, false
+	j.out, j.over, j.at, j.unsplit = false, j.over || over, noHost, false
 	d.jobs.enqueue(slot)
 }
 
-// ClientLeft tells that nothing more is owed for a job.
-func (d *Dispatcher) ClientLeft(now Nanos, id JobID) {
-	if slot, j := d.jobs.find(id); j != nil {
-		j.over, j.due = true, now
-		d.jobs.enqueue(slot)
-	}
-}
-
-// Woken tells that a Wake has come due.
-func (d *Dispatcher) Woken(now Nanos) {
-	if now < d.lookAt {
-		d.wakeAt = Never
-		return
+// work is a job's stream at the wanted pace: by its hint, else by the most that it may produce.
+func work(j *job, t *Track) Nanos {
+	if j.Hint > 0 {
+		return j.Hint
 	}
-	d.wakeAt = Never
-	d.look(now)
+	return Nanos(max(j.Cap, 1)) * max(t.TokenGap, 1)
 }
 
 // look goes over all that is in hand: jobs that fell due, marks that ran out, hosts against their fellows.
 func (d *Dispatcher) look(now Nanos) {
 	d.lookAt = Never
 	for i := range d.jobs.jobs {
-		if j := &d.jobs.jobs[i]; j.used && j.due < Never {
-			if j.due <= now {
-				d.jobs.enqueue(int32(i))
-			} else {
-				d.lookAt = min(d.lookAt, j.due, now+d.step)
-			}
+		if j := &d.jobs.jobs[i]; !j.used || j.due >= Never {
+			continue
+		} else if j.due <= now {
+			d.jobs.enqueue(int32(i))
+		} else {
+			d.lookAt = min(d.lookAt, j.due, now+d.step)
 		}
 	}
-	for role := range d.fellows {
-		d.scratch = d.scratch[:0]
-		for i := range d.hosts {
-			if h := &d.hosts[i]; h.role == Role(role) && h.health == Serving && h.answers.n > 0 {
-				d.scratch = append(d.scratch, h.answers.q)
-			}
+	memory := max(4*d.lasts, d.tracks[0].Expected) // long against one stream, short against a trouble
+	keep := max(0, 1-float64(now-d.lookedAt)/float64(memory))
+	for i := range d.hosts {
+		h := &d.hosts[i]
+		h.busy = h.busy*keep + float64(h.begun)*float64(now-d.lookedAt)
+		h.done *= keep
+		h.high = h.answers.quantile(now-8*d.tracks[0].Expected, highQuantile)
+	}
+	d.lookedAt = now
+	for role := Reader; role < roleCount; role++ {
+		if x := d.median(role, func(h *host) float64 { return h.high }); x > 0 {
+			d.usual[role] = x
+		}
+		d.pace[role] = d.median(role, func(h *host) float64 { return h.busy / max(h.done, 1) })
+	}
+	for i := range d.hosts {
+		h := &d.hosts[i]
+		if h.health != Serving || now < h.aside || d.isCold(now, h) {
+			continue
+		}
+		if h.high > slowHarms && h.high > slowAgainst*d.usual[h.role] {
+			d.setAside(now, h, "slow to answer", true)
+		} else if h.busy > 4*float64(d.lasts) && now > h.since+2*d.lasts && d.pace[h.role] > 0 &&
+			h.busy > paceAgainst*d.pace[h.role]*h.done {
+			d.setAside(now, h, "slow streams", true)
 		}
-		d.fellows[role] = median(d.scratch)
 	}
 	d.holds.sweep(now)
 }
 
-func median(xs []float64) float64 {
-	for i := range xs {
-		for k := i; k > 0 && xs[k] < xs[k-1]; k-- {
-			xs[k], xs[k-1] = xs[k-1], xs[k]
+// median of a figure over the hosts of a role that have one.
+func (d *Dispatcher) median(role Role, figure func(h *host) float64) float64 {
+	xs := d.scratch[:0]
+	for i := range d.hosts {
+		if h := &d.hosts[i]; h.role == role && h.health == Serving {
+			if x := figure(h); x > 0 {
+				xs = append(xs, x)
+			}
 		}
 	}
+	d.scratch = xs
 	if len(xs) == 0 {
 		return 0
 	}
+	slices.Sort(xs)
 	return xs[len(xs)/2]
 }
 
-// answered books the first answer of the launch that is out: a read that ended, a stream begun, or a failure.
-func (d *Dispatcher) answered(now Nanos, j *job, elapsed Nanos, good bool) {
-	h := &d.hosts[j.at]
-	h.out--
-	h.queued = max(h.queued-j.tokens, 0)
-	j.tokens = 0
-	h.moved = now
-	if h.out == 0 {
-		h.longest = 0
-	}
-	if good {
-		h.carried.add(now, d.cold.Window)
-		x := float64(elapsed) / float64(j.expected)
-		h.answers.see(x, highQuantile, quantileStep)
-		d.answers[h.role].see(x, highQuantile, quantileStep/4) // a pool's figure moves slower than a host's
-		if h.aside > 0 && x < h.answers.q {
-			h.answers.q = (h.answers.q + x) / 2 // a host on trial is few-worded: each good answer counts double
-		}
-	}
-}
-
-// judge keeps a host's share of failures, and sets it aside when the share is high. It guards against hosts that
-// fail fast, hang, or are gone before the list says so; a spell that relapses doubles, up to the warm-up time.
+// judge keeps a host's share of failures. It guards against hosts that fail fast, hang, or are gone before the list
+// says so. A turned-away job is no failure: the host is full and says so.
 func (d *Dispatcher) judge(now Nanos, h *host, j *job, how Outcome) {
-	bad := 0.0
+	bad, why := 0.0, "failing"
 	switch how {
 	case Failed, Broken:
 		bad = 1
-	case Late:
-		if now < j.Deadline || j.sent+j.expected < now {
-			bad = 1
+	case Late, Recalled:
+		if j.phase == streaming || !d.stalled(now, h) && !j.withdrew || j.over {
+			return
 		}
+		bad, h.doubt, why = 1, max(h.doubt, 2*failLimit), "silent"
 	case Unreachable:
-		bad, h.doubt, h.downed = 1, 1, true
+		bad, h.doubt, h.downed, why = 1, max(h.doubt, 2*failLimit), true, "not reached"
 	case Turned:
 		h.fullTill = now + j.expected/16
 		return
-	case Recalled, NotSent, Stateless:
+	case NotSent, Stateless:
 		return
 	default:
+		h.trial = false
 		if h.downed { // it is back, and nobody has said since when: treat it as just started
 			h.downed, h.launched = false, now
 		}
 	}
 	h.doubt = h.doubt*failKeep + bad*(1-failKeep)
 	if bad > 0 && h.doubt > failLimit && now >= h.aside {
-		h.spell = min(max(2*h.spell, d.tracks[j.Track].Expected/2), max(d.cold.Warm, d.tracks[j.Track].Expected))
-		h.aside = now + h.spell
+		d.setAside(now, h, why, false)
 	}
-	if bad == 0 && h.doubt < failLimit/4 {
+}
+
+// setAside keeps new jobs from a host for a spell; then one job at a time tries it. A spell that follows soon on the
+// last one is twice as long, up to the time in which a host warms up, so that a long trouble costs few trials.
+func (d *Dispatcher) setAside(now Nanos, h *host, why string, sparing bool) {
+	if sparing {
+		aside, all := 1, 0
+		for i := range d.hosts {
+			if o := &d.hosts[i]; o.role == h.role && o.health == Serving {
+				if all++; now < o.aside {
+					aside++
+				}
+			}
+		}
+		if aside*mostAside > all {
+			return
+		}
+	}
+	if now > h.aside+4*h.spell {
 		h.spell = 0
 	}
+	h.spell = min(max(2*h.spell, d.tracks[0].Expected/2), max(d.cold.Warm, d.tracks[0].Expected))
+	h.aside, h.trial, h.since = now+h.spell, true, now+h.spell
+	h.answers, h.busy, h.done = ring{}, 0, 0
+	d.says = append(d.says, fmt.Sprintf("host %d set aside for %d ms: %s", h.id, h.spell/1e6, why))
 }
 
 // ---- What is decided.
 
 // Next gives the next decision, until there is none.
 func (d *Dispatcher) Next(now Nanos) (Decision, bool) {
+	if n := len(d.says); n > 0 {
+		text := d.says[n-1]
+		d.says = d.says[:n-1]
+		return Decision{Verb: Say, Text: text}, true
+	}
 	for {
 		slot, ok := d.jobs.peek()
 		if !ok {
@@ -314,13 +293,8 @@
 		d.watching = true
 		return Decision{Verb: Watch}, true
 	}
-	next := d.lookAt
-	if !d.watching {
-		next = min(next, d.watchAt)
-		d.lookAt = next
-	}
-	if next < d.wakeAt {
-		d.wakeAt = max(next, now+1)
+	if d.lookAt < d.wakeAt {
+		d.wakeAt = max(d.lookAt, now+1)
 		return Decision{Verb: Wake, For: d.wakeAt - now}, true
 	}
 	return Decision{}, false
@@ -332,34 +306,36 @@
 	case j.over:
 		j.due = Never
 		if j.out && j.phase != streaming && d.launching.Recall && !j.withdrew {
-			j.withdrew = true
-			return Decision{Verb: Recall, Job: j.ID, Shot: Shot(j.launches - 1)}, true
+			return d.recall(j)
 		}
 		if !j.out && j.held { // keeps rule five: whatever ended the job, nothing stays pinned for it
-			j.held = false
-			return Decision{Verb: LetGo, Job: j.ID}, true
+			return d.letGo(j)
 		}
 		return Decision{}, false
 	case j.phase == streaming:
 		return Decision{}, false
 	case j.out:
-		if now >= j.Deadline+d.answering.Slack/2 { // an outcome that never comes must not cost the final answer
+		last := j.Deadline + d.answering.Slack/2
+		if now >= last { // an outcome that never comes must not cost the final answer
 			return d.giveUp(now, j)
 		}
-		d.lookAgain(now, j, j.Deadline+d.answering.Slack/2)
+		if d.launching.Recall && !j.withdrew && d.mayRelaunch(now, j) && d.stalled(now, &d.hosts[j.at]) {
+			return d.recall(j)
+		}
+		d.lookAgain(now, j, min(last, now+d.step))
 		return Decision{}, false
+	case j.phase == toRead && j.held:
+		return d.letGo(j)
 	case now+d.answering.Round >= j.Deadline, j.launches >= d.launching.Most, !d.mayLaunch(now, j):
 		return d.giveUp(now, j)
 	}
 	to := noHost
-	if j.phase == toRead && j.held {
-		j.held = false
-		return Decision{Verb: LetGo, Job: j.ID}, true
-	}
-	if j.phase == toRead {
-		to = d.pickFirst(now, j)
-	} else {
-		to = d.pickWriter(now, j)
+	for pass := 0; pass < 3 && to == noHost; pass++ {
+		if j.phase == toWrite {
+			to = d.pickWriter(now, j, pass)
+		} else if to = d.pickMixed(now, j, pass); to == noHost {
+			to = d.pickReader(now, j, pass)
+		}
 	}
 	if to == noHost {
 		if d.hopeless(now, j) {
@@ -376,12 +352,28 @@
 	d.lookAt = min(d.lookAt, j.due)
 }
 
+func (d *Dispatcher) recall(j *job) (Decision, bool) {
+	j.withdrew = true
+	return Decision{Verb: Recall, Job: j.ID, Shot: Shot(j.launches - 1)}, true
+}
+
+func (d *Dispatcher) letGo(j *job) (Decision, bool) {
+	j.held = false
+	return Decision{Verb: LetGo, Job: j.ID}, true
+}
+
 // mayLaunch keeps rule two: what may have run is launched again only where the repeat does no harm.
 func (d *Dispatcher) mayLaunch(now Nanos, j *job) bool {
 	t := &d.tracks[j.Track]
 	return !j.mayRun || t.Effect == Redoable || t.Effect == Labelled && now < j.ranSince+t.Window
 }
 
+// mayRelaunch tells whether withdrawing the launch that is out leaves the job another.
+func (d *Dispatcher) mayRelaunch(now Nanos, j *job) bool {
+	t := &d.tracks[j.Track]
+	return j.launches < d.launching.Most && (t.Effect == Redoable || d.hosts[j.at].role == Reader)
+}
+
 // inGroup tells whether a host drops repeats of a labelled job that may have run.
 func (d *Dispatcher) inGroup(j *job, h *host) bool {
 	t := &d.tracks[j.Track]
@@ -403,21 +395,17 @@
 // giveUp ends a job: first whatever is held goes, then the client is told; a nack wherever it tells the truth.
 func (d *Dispatcher) giveUp(now Nanos, j *job) (Decision, bool) {
 	if j.held && !j.out {
-		j.held = false
-		return Decision{Verb: LetGo, Job: j.ID}, true
+		return d.letGo(j)
 	}
 	t := &d.tracks[j.Track]
 	j.over = true
 	unsafe := j.mayRun || j.out && d.hosts[j.at].role != Reader
-	if unsafe && t.Effect != Redoable && (t.Effect == Irreversible || t.Group != GroupAll) {
-		return Decision{Verb: Abandon, Job: j.ID}, true
-	}
-	if j.out || now >= j.Deadline {
+	if unsafe && t.Effect != Redoable && (t.Effect == Irreversible || t.Group != GroupAll) || now >= j.Deadline {
 		return Decision{Verb: Abandon, Job: j.ID}, true
 	}
 	advice := Nanos(0)
 	if d.answering.Advice {
-		advice = min(t.Expected/2, d.answering.MaxAdvice)
+		advice = min(t.Expected/2, d.answering.MaxAdvice) // about as long as a burst's head takes to pass
 	}
 	return Decision{Verb: Nack, Job: j.ID, For: advice}, true
 }
@@ -433,16 +421,15 @@
 	if h.role != Reader {
 		h.streams++
 	}
-	j.unsplit = j.phase == toRead && h.role != Reader
 	if j.phase == toRead {
+		j.unsplit = h.role != Reader
 		j.tokens = j.Prompt - d.expectHeld(now, j, to)
 		h.queued += j.tokens
-		until := now + keepMarks*1e9
 		if j.Prefix != 0 && j.Shared > 0 {
-			d.holds.mark(uint64(j.Prefix), to, j.Shared, until)
+			d.holds.mark(uint64(j.Prefix), to, j.Shared, now+keepMarks)
 		}
 		if j.Session != 0 {
-			d.holds.mark(^uint64(j.Session), to, j.Prompt, until)
+			d.holds.mark(^uint64(j.Session), to, j.Prompt, now+keepMarks)
 		}
 	}
 	j.out, j.withdrew, j.at, j.sent = true, false, to, now
@@ -450,11 +437,15 @@
 	return Decision{Verb: Launch, Job: j.ID, Host: h.id, For: d.timeOut(now, j, h.role)}
 }
 
-// timeOut leaves time for another launch: several high answer times of the role, no more than half of what is left.
+// timeOut bounds a launch. Where launches can be recalled, silence ends them and the time-out only keeps the last
+// quarter for another; else several usual answer times, at most half of what is left.
 func (d *Dispatcher) timeOut(now Nanos, j *job, role Role) Nanos {
 	left := j.Deadline - now
-	usual := Nanos(stallAgainst * d.answers[role].q * float64(j.expected))
-	return max(min(max(usual, j.expected/2), left/2), min(left, j.expected/2))
+	if d.launching.Recall {
+		return left - left/4
+	}
+	usual := Nanos(stallAgainst * max(d.usual[role], stallFloor) * float64(j.expected))
+	return max(min(usual, left/2), min(left, j.expected/2))
 }
 
 // expectHeld is how much of a job's prompt a host is expected to have kept.
@@ -469,56 +460,41 @@
 	return min(kept, j.Prompt)
 }
 
-// fit tells whether a host may and should be sent anything now.
+// fit tells whether a host may and should be sent a job now. Later passes, when nothing else is left, lift what is
+// only advice: first the hosts that this job has failed at, then trials and silence.
 func (d *Dispatcher) fit(now Nanos, j *job, i int32, pass int) bool {
 	h := &d.hosts[i]
-	if h.health != Serving || !d.inGroup(j, h) || !d.coldRoom(now, h) {
-		return false // rules two, three and four: no pass lifts these
-	}
-	if pass == 0 && j.shuns(i) || now < h.fullTill {
+	switch {
+	case h.health != Serving || !d.inGroup(j, h) || !d.coldRoom(now, h): // rules two, three and four
 		return false
-	}
-	if h.aside > 0 && now < h.aside {
+	case now < h.fullTill || now < h.aside:
+		return false
+	case pass < 2 && (h.trial && h.out > 0 || d.stalled(now, h)):
 		return false
 	}
-	if pass < 2 {
-		if h.doubt > failLimit && h.out > 0 { // on trial: one launch at a time
-			return false
-		}
-		if d.slow(h) && h.out > 0 || d.stalled(now, h) {
-			return false
-		}
-	}
-	return true
-}
-
-// slow judges a host by the high quantile of its answer times against its fellows'. It guards against hosts that
-// run slowly however that came; it may do harm where fellows differ by design, which slowAgainst allows for.
-func (d *Dispatcher) slow(h *host) bool {
-	mid := d.fellows[h.role]
-	return mid > 0 && h.answers.q > slowAgainst*mid
+	return pass > 0 || !j.shuns(i)
 }
 
 // stalled tells that a host has launches out and has not answered one for far longer than its role takes: hung,
 // cut off, or gone with the list still silent. Its first answer lifts it.
 func (d *Dispatcher) stalled(now Nanos, h *host) bool {
-	if h.out == 0 {
-		return false
-	}
-	usual := max(d.answers[h.role].q, 1.0/16)
-	return now-h.moved > Nanos(stallAgainst*usual*float64(h.longest))
+	usual := max(d.usual[h.role], stallFloor)
+	return h.out > 0 && now-h.moved > Nanos(stallAgainst*usual*float64(h.longest))
+}
+
+func (d *Dispatcher) isCold(now Nanos, h *host) bool {
+	return d.cold.Window > 0 && h.launched > 0 && now < h.launched+d.cold.Warm
 }
 
 // coldRoom keeps rule four alone: a host that has just started gets a share of what its warm fellows carry from
 // here, so that all dispatchers together stay under what topples it, and at least one launch in a window.
 func (d *Dispatcher) coldRoom(now Nanos, h *host) bool {
-	if d.cold.Window <= 0 || h.launched <= 0 || now >= h.launched+d.cold.Warm {
+	if !d.isCold(now, h) {
 		return true
 	}
 	total, warm := int32(0), int32(0)
 	for i := range d.hosts {
-		o := &d.hosts[i]
-		if o.role == h.role && o.health == Serving && (o.launched <= 0 || now >= o.launched+d.cold.Warm) {
+		if o := &d.hosts[i]; o.role == h.role && o.health == Serving && !d.isCold(now, o) {
 			total += o.carried.sum(now, d.cold.Window)
 			warm++
 		}
@@ -530,38 +506,38 @@
 	return float64(h.sent.sum(now, d.cold.Window))+1 <= room
 }
 
-// pickFirst places a job whose prompt is not read: unsplit at a mixed host if it is short, else at a reader.
-func (d *Dispatcher) pickFirst(now Nanos, j *job) int32 {
-	for pass := 0; pass < 3; pass++ {
-		if to := d.pickMixed(now, j, pass); to != noHost {
-			return to
-		}
-		if to := d.pickReader(now, j, pass); to != noHost {
-			return to
-		}
-	}
-	return noHost
-}
+// rank orders hosts for a pick: the least wins, the first figure counting most.
+type rank [3]int64
 
-// pickMixed is the design's rule for short prompts: the mixed host with fewest own streams.
-func (d *Dispatcher) pickMixed(now Nanos, j *job, pass int) int32 {
-	best, ties := noHost, int32(0)
+// least picks the host of least rank among those that the pick admits; chance settles ties.
+func (d *Dispatcher) least(of func(i int32, h *host) (rank, bool)) int32 {
+	best, ties, low := noHost, int32(0), rank{}
 	for i := range d.hosts {
-		h, i := &d.hosts[i], int32(i)
-		if h.role != Mixed || j.Prompt-d.expectHeld(now, j, i) >= shortPrompt || !d.fit(now, j, i, pass) {
+		r, ok := of(int32(i), &d.hosts[i])
+		if !ok {
 			continue
 		}
-		if best == noHost || h.streams < d.hosts[best].streams {
-			best, ties = i, 1
-		} else if h.streams == d.hosts[best].streams {
+		order := slices.Compare(r[:], low[:])
+		if best == noHost || order < 0 {
+			best, ties, low = int32(i), 1, r
+		} else if order == 0 {
 			if ties++; d.rng.below(ties) == 0 {
-				best = i
+				best = int32(i)
 			}
 		}
 	}
 	return best
 }
 
+// pickMixed is the design's rule for short prompts: the mixed host with fewest own streams reads them itself. It
+// also serves where no reader is left on the list.
+func (d *Dispatcher) pickMixed(now Nanos, j *job, pass int) int32 {
+	return d.least(func(i int32, h *host) (rank, bool) {
+		short := j.Prompt-d.expectHeld(now, j, i) < shortPrompt
+		return rank{int64(h.streams)}, h.role == Mixed && short && d.fit(now, j, i, pass)
+	})
+}
+
 // backlog is the design's load signal of a reader: own unread prompts, plus what the host reported of late.
 func (d *Dispatcher) backlog(now Nanos, h *host) int64 {
 	if h.load.Unread > 0 && now-h.loadAt < d.tracks[0].Expected {
@@ -572,99 +548,41 @@
 
 // pickReader: among readers that hold the job's beginning and are not overloaded, the fewest queued prompt tokens.
 func (d *Dispatcher) pickReader(now Nanos, j *job, pass int) int32 {
-	lowest := int64(-1)
+	lowest := Never
 	for i := range d.hosts {
-		h := &d.hosts[i]
-		if h.role == Reader && d.fit(now, j, int32(i), pass) {
-			if b := d.backlog(now, h); lowest < 0 || b < lowest {
-				lowest = b
-			}
+		if h := &d.hosts[i]; h.role == Reader && d.fit(now, j, int32(i), pass) {
+			lowest = min(lowest, Nanos(d.backlog(now, h)))
 		}
 	}
-	if lowest < 0 {
-		return noHost
-	}
-	gate := gateFactor*lowest + j.Prompt
-	best, ties := noHost, int32(0)
-	var bestHolds, bestNear bool
-	var bestLog int64
-	for i := range d.hosts {
-		h := &d.hosts[i]
-		if h.role != Reader || !d.fit(now, j, int32(i), pass) {
-			continue
-		}
-		log := d.backlog(now, h)
-		holds := log < gate && d.expectHeld(now, j, int32(i)) > 0
-		near := h.zone == d.place.Zone
-		better := holds && !bestHolds
-		if holds == bestHolds {
-			better = log < bestLog || log == bestLog && near && !bestNear
+	return d.least(func(i int32, h *host) (rank, bool) {
+		log, apart, far := d.backlog(now, h), int64(1), int64(1)
+		if d.expectHeld(now, j, i) > 0 && log < gateFactor*int64(lowest)+j.Prompt {
+			apart = 0
 		}
-		if best == noHost || better {
-			best, ties, bestHolds, bestNear, bestLog = int32(i), 1, holds, near, log
-		} else if holds == bestHolds && log == bestLog && near == bestNear {
-			if ties++; d.rng.below(ties) == 0 {
-				best = int32(i)
-			}
+		if h.zone == d.place.Zone {
+			far = 0
 		}
-	}
-	return best
+		return rank{apart, log, far}, h.role == Reader && d.fit(now, j, i, pass)
+	})
 }
 
 // pickWriter: the fewest own streams; within one of the fewest the reader's cell, then its zone.
-func (d *Dispatcher) pickWriter(now Nanos, j *job) int32 {
-	for pass := 0; pass < 3; pass++ {
-		fewest := int32(-1)
-		for i := range d.hosts {
-			h := &d.hosts[i]
-			if h.role != Reader && d.fit(now, j, int32(i), pass) && (fewest < 0 || h.streams < fewest) {
-				fewest = h.streams
-			}
-		}
-		if fewest < 0 {
-			continue
-		}
-		from := &d.hosts[j.reader]
-		best, ties := noHost, int32(0)
-		for i := range d.hosts {
-			h := &d.hosts[i]
-			if h.role == Reader || h.streams > fewest+nearStreams || !d.fit(now, j, int32(i), pass) {
-				continue
-			}
-			if best == noHost {
-				best, ties = int32(i), 1
-				continue
-			}
-			o := &d.hosts[best]
-			order := nearness(from, o) - nearness(from, h)
-			if order == 0 {
-				order = int(h.streams - o.streams)
-			}
-			if order == 0 && h.load.Memory != o.load.Memory {
-				order = 1
-				if h.load.Memory < o.load.Memory {
-					order = -1
-				}
-			}
-			if order < 0 {
-				best, ties = int32(i), 1
-			} else if order == 0 {
-				if ties++; d.rng.below(ties) == 0 {
-					best = int32(i)
-				}
-			}
+func (d *Dispatcher) pickWriter(now Nanos, j *job, pass int) int32 {
+	fewest := int32(1 << 30)
+	for i := range d.hosts {
+		if h := &d.hosts[i]; h.role != Reader && d.fit(now, j, int32(i), pass) {
+			fewest = min(fewest, h.streams)
 		}
-		return best
-	}
-	return noHost
-}
-
-func nearness(from, to *host) int {
-	switch {
-	case from.cell == to.cell:
-		return 2
-	case from.zone == to.zone:
-		return 1
 	}
-	return 0
+	from := &d.hosts[j.reader]
+	return d.least(func(i int32, h *host) (rank, bool) {
+		far := int64(2)
+		if h.cell == from.cell {
+			far = 0
+		} else if h.zone == from.zone {
+			far = 1
+		}
+		r := rank{far, int64(h.streams), int64(h.load.Memory * 100)}
+		return r, h.role != Reader && h.streams <= fewest+nearStreams && d.fit(now, j, i, pass)
+	})
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,5 +1,7 @@
 package policy
 
+import "slices"
+
 // What is known is kept here: jobs in hand, hosts, who holds which beginning. Nothing here decides.
 
 type phase uint8
@@ -122,10 +124,16 @@
 	streams  int32   // own jobs there as a writer, begun or not
 	moved    Nanos   // last answer, or first launch since it stood idle
 	longest  Nanos   // longest expected time among the launches out
-	answers  gauge   // answer time over the job's expected time
+	begun    int32   // of the streams, those that have begun
+	answers  ring    // first answers, as shares of the job's expected time
+	high     float64 // high quantile of them
+	busy     float64 // stream time of late
+	done     float64 // work of the streams that ended of late
+	since    Nanos   // both count from then
 	doubt    float64 // share of recent launches that failed
 	aside    Nanos   // set aside until then
 	spell    Nanos   // length of the last spell aside
+	trial    bool    // back from aside, not yet proven
 	downed   bool    // has not answered since it could not be reached
 	fullTill Nanos
 	load     Load
@@ -134,22 +142,41 @@
 	carried  flow // of those, the ones it answered
 }
 
-// gauge follows a high quantile of what it sees.
-type gauge struct {
-	q float64
-	n int32
+// restarted forgets what no longer holds once a host's process is another.
+func (h *host) restarted() {
+	h.doubt, h.aside, h.spell, h.trial, h.downed, h.load = 0, 0, 0, false, false, NoLoad
+	h.answers, h.busy, h.done = ring{}, 0, 0
+}
+
+const ringSize = 16
+
+// ring keeps the last few figures and when they came.
+type ring struct {
+	xs [ringSize]float64
+	at [ringSize]Nanos
+	n  int
+}
+
+func (r *ring) add(now Nanos, x float64) {
+	r.xs[r.n%ringSize], r.at[r.n%ringSize] = x, now
+	r.n++
 }
 
-func (g *gauge) see(x, quantile, step float64) {
-	switch {
-	case g.n == 0:
-		g.q = x
-	case x > g.q:
-		g.q *= 1 + step*quantile
-	default:
-		g.q *= 1 - step*(1-quantile)
+// quantile of the figures that came since a time; 0 if they are too few to tell.
+func (r *ring) quantile(since Nanos, q float64) float64 {
+	var fresh [ringSize]float64
+	n := 0
+	for i := 0; i < min(r.n, ringSize); i++ {
+		if r.at[i] >= since {
+			fresh[n] = r.xs[i]
+			n++
+		}
+	}
+	if n < 3 {
+		return 0
 	}
-	g.n++
+	slices.Sort(fresh[:n])
+	return fresh[int(q*float64(n-1))]
 }
 
 const flowParts = 8
--- /dev/null
+++ b/policy/told.go
@@ -0,0 +1,86 @@
+package policy
+
+// What the host tells is taken down here, as far as no judgement goes into it; the rest is in policy.go.
+
+// ListBegin opens news of the list; full lists name every host that there is.
+func (d *Dispatcher) ListBegin(full bool) {
+	if full {
+		for i := range d.hosts {
+			d.hosts[i].health = Gone
+		}
+	}
+}
+
+// HostListed is one entry of the news.
+func (d *Dispatcher) HostListed(id HostID, zone ZoneID, kind KindID, cell CellID, health Health, launched Nanos) {
+	i, ok := d.byID[id]
+	if !ok {
+		i = int32(len(d.hosts))
+		d.byID[id] = i
+		d.hosts = append(d.hosts, host{id: id, load: NoLoad})
+	}
+	h := &d.hosts[i]
+	if launched > h.launched && ok { // a new process has kept nothing, and no old verdict on it holds
+		d.holds.forget(i)
+		h.restarted()
+	}
+	h.zone, h.cell, h.health, h.launched = zone, cell, health, max(launched, h.launched)
+	if int(kind) < len(d.roles) {
+		h.role = d.roles[kind]
+	}
+}
+
+// ListEnd closes the news.
+func (d *Dispatcher) ListEnd(now Nanos) { d.look(now) }
+
+// JobArrived hands over a job; from now on it is owed one final answer.
+func (d *Dispatcher) JobArrived(now Nanos, given Job) {
+	slot := d.jobs.add(given)
+	j, t := &d.jobs.jobs[slot], &d.tracks[given.Track]
+	j.born = now
+	j.expected = t.Expected + t.ExpectedPer1k*Nanos(j.Prompt)/1000
+	d.jobs.enqueue(slot)
+}
+
+// StreamBegan tells that a launch's answer has begun: from now on it has no deadline.
+func (d *Dispatcher) StreamBegan(now Nanos, id JobID, shot Shot, elapsed Nanos) {
+	_, j := d.jobs.find(id)
+	if j == nil || !j.out || j.phase == streaming || shot != Shot(j.launches-1) {
+		return
+	}
+	d.answered(now, j, elapsed, true)
+	j.phase, j.held, j.due = streaming, false, Never
+	d.hosts[j.at].begun++
+}
+
+// ClientLeft tells that nothing more is owed for a job.
+func (d *Dispatcher) ClientLeft(now Nanos, id JobID) {
+	if slot, j := d.jobs.find(id); j != nil {
+		j.over = true
+		d.jobs.enqueue(slot)
+	}
+}
+
+// Woken tells that a Wake has come due.
+func (d *Dispatcher) Woken(now Nanos) {
+	d.wakeAt = Never
+	if now >= d.lookAt {
+		d.look(now)
+	}
+}
+
+// answered books the first answer of the launch that is out: a read that ended, a stream begun, or a failure.
+func (d *Dispatcher) answered(now Nanos, j *job, elapsed Nanos, good bool) {
+	h := &d.hosts[j.at]
+	h.out--
+	h.queued = max(h.queued-j.tokens, 0)
+	j.tokens = 0
+	h.moved = now
+	if h.out == 0 {
+		h.longest = 0
+	}
+	if good {
+		h.carried.add(now, d.cold.Window)
+		h.answers.add(now, float64(elapsed)/float64(j.expected))
+	}
+}
