--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,6 +49,7 @@
 	usual    [roleCount]float64 // median over hosts of their high answer times, as shares of the expected time
 	pace     [roleCount]float64 // median over hosts of their stream time for a unit of work
 	lasts    Nanos              // usual length of a stream
+	ended    int64              // streams seen to their end
 	step     Nanos              // longest time between two looks at everything in hand
 	lookedAt Nanos
 	lookAt   Nanos // next look at everything in hand
@@ -112,7 +113,8 @@
 	if j.phase == streaming {
 		if h.begun--; how == Honoured {
 			h.done += float64(work(j, &d.tracks[j.Track]))
-			d.lasts += (elapsed - d.lasts) / 16 // a few dozen streams
+			d.ended++
+			d.lasts += (elapsed - d.lasts) / Nanos(min(d.ended, 32)) // a few dozen streams
 		}
 	} else {
 		d.answered(now, j, elapsed, how == Read || how == Honoured)
@@ -185,7 +187,7 @@
 		}
 		if h.high > slowHarms && h.high > slowAgainst*d.usual[h.role] {
 			d.setAside(now, h, "slow to answer", true)
-		} else if h.busy > 4*float64(d.lasts) && now > h.since+2*d.lasts && d.pace[h.role] > 0 &&
+		} else if d.ended > 32 && h.busy > 8*float64(d.lasts) && now > h.since+2*d.lasts && d.pace[h.role] > 0 &&
 			h.busy > paceAgainst*d.pace[h.role]*h.done {
 			d.setAside(now, h, "slow streams", true)
 		}
@@ -476,10 +478,11 @@
 }
 
 // stalled tells that a host has launches out and has not answered one for far longer than its role takes: hung,
-// cut off, or gone with the list still silent. Its first answer lifts it.
+// cut off, or gone with the list still silent. Its first answer lifts it. A long prompt may take twice the time
+// that the clients allow for it: to call its reader hung would send it on to spoil the next one.
 func (d *Dispatcher) stalled(now Nanos, h *host) bool {
-	usual := max(d.usual[h.role], stallFloor)
-	return h.out > 0 && now-h.moved > Nanos(stallAgainst*usual*float64(h.longest))
+	usual := stallAgainst * max(d.usual[h.role], stallFloor) * float64(d.tracks[0].Expected)
+	return h.out > 0 && now-h.moved > Nanos(usual)+2*max(h.longest-d.tracks[0].Expected, 0)
 }
 
 func (d *Dispatcher) isCold(now Nanos, h *host) bool {
@@ -532,9 +535,10 @@
 // pickMixed is the design's rule for short prompts: the mixed host with fewest own streams reads them itself. It
 // also serves where no reader is left on the list.
 func (d *Dispatcher) pickMixed(now Nanos, j *job, pass int) int32 {
+	fewest := d.fewestStreams(now, j, pass)
 	return d.least(func(i int32, h *host) (rank, bool) {
 		short := j.Prompt-d.expectHeld(now, j, i) < shortPrompt
-		return rank{int64(h.streams)}, h.role == Mixed && short && d.fit(now, j, i, pass)
+		return rank{int64(h.streams)}, h.role == Mixed && short && h.streams <= fewest+nearStreams && d.fit(now, j, i, pass)
 	})
 }
 
@@ -566,14 +570,20 @@
 	})
 }
 
-// pickWriter: the fewest own streams; within one of the fewest the reader's cell, then its zone.
-func (d *Dispatcher) pickWriter(now Nanos, j *job, pass int) int32 {
+// fewestStreams is the least number of own streams at any writer or mixed host.
+func (d *Dispatcher) fewestStreams(now Nanos, j *job, pass int) int32 {
 	fewest := int32(1 << 30)
 	for i := range d.hosts {
 		if h := &d.hosts[i]; h.role != Reader && d.fit(now, j, int32(i), pass) {
 			fewest = min(fewest, h.streams)
 		}
 	}
+	return fewest
+}
+
+// pickWriter: the fewest own streams; within one of the fewest the reader's cell, then its zone.
+func (d *Dispatcher) pickWriter(now Nanos, j *job, pass int) int32 {
+	fewest := d.fewestStreams(now, j, pass)
 	from := &d.hosts[j.reader]
 	return d.least(func(i int32, h *host) (rank, bool) {
 		far := int64(2)
