--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,8 +20,8 @@
 	slowAgainst  = 3.0     // times its fellows' median: uneven load makes 2, sickness 4 and more
 	slowHarms    = 1.0 / 3 // of the expected time: answers faster than that harm nobody, whatever fellows do
 	paceAgainst  = 2.5     // times its fellows' stream time for the same work; lengths vary by less over a few streams
-	stallAgainst = 4.0     // silence of so many usual answer times is no chance
-	stallFloor   = 1.0 / 8 // of the expected time, taken as the usual answer time while hosts are quicker
+	stallAgainst = 2.0     // silence of so many high answer times is no chance
+	stallFloor   = 1.0 / 4 // of the expected time, taken as the high answer time while hosts are quicker
 	failKeep     = 0.8     // weight of the past in a host's share of failures
 	failLimit    = 0.3     // two failures in a row from clean, or one launch in three
 	mostAside    = 3       // one host in so many of a role may be set aside for being slow: the rest must bear its load
@@ -418,7 +418,7 @@
 		h.moved = now
 	}
 	h.out++
-	h.longest = max(h.longest, j.expected)
+	h.longest = max(h.longest, j.expected-d.tracks[j.Track].Expected)
 	h.sent.add(now, d.cold.Window)
 	if h.role != Reader {
 		h.streams++
@@ -482,7 +482,7 @@
 // that the clients allow for it: to call its reader hung would send it on to spoil the next one.
 func (d *Dispatcher) stalled(now Nanos, h *host) bool {
 	usual := stallAgainst * max(d.usual[h.role], stallFloor) * float64(d.tracks[0].Expected)
-	return h.out > 0 && now-h.moved > Nanos(usual)+2*max(h.longest-d.tracks[0].Expected, 0)
+	return h.out > 0 && now-h.moved > Nanos(usual)+2*h.longest
 }
 
 func (d *Dispatcher) isCold(now Nanos, h *host) bool {
@@ -550,7 +550,8 @@
 	return h.queued
 }
 
-// pickReader: among readers that hold the job's beginning and are not overloaded, the fewest queued prompt tokens.
+// pickReader: among readers that hold the job's beginning and are not overloaded, the fewest queued prompt tokens,
+// this prompt's own unheld ones counted in: so a session's own reader goes before one that holds less of it.
 func (d *Dispatcher) pickReader(now Nanos, j *job, pass int) int32 {
 	lowest := Never
 	for i := range d.hosts {
@@ -566,7 +567,7 @@
 		if h.zone == d.place.Zone {
 			far = 0
 		}
-		return rank{apart, log, far}, h.role == Reader && d.fit(now, j, i, pass)
+		return rank{apart, log + j.Prompt - d.expectHeld(now, j, i), far}, h.role == Reader && d.fit(now, j, i, pass)
 	})
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -123,7 +123,7 @@
 	out      int32   // own launches there that have not answered
 	streams  int32   // own jobs there as a writer, begun or not
 	moved    Nanos   // last answer, or first launch since it stood idle
-	longest  Nanos   // longest expected time among the launches out
+	longest  Nanos   // longest allowance for prompt length among the launches out
 	begun    int32   // of the streams, those that have begun
 	answers  ring    // first answers, as shares of the job's expected time
 	high     float64 // high quantile of them
