--- a/policy/policy.go
+++ b/policy/policy.go
@@ -551,7 +551,8 @@
 }
 
 // pickReader: among readers that hold the job's beginning and are not overloaded, the fewest queued prompt tokens,
-// this prompt's own unheld ones counted in: so a session's own reader goes before one that holds less of it.
+// this prompt's own unheld ones counted in. A reader that has read this session before shares the longest beginning
+// and goes first: sessions that roam are read anew each time, and what they leave drives out what others need.
 func (d *Dispatcher) pickReader(now Nanos, j *job, pass int) int32 {
 	lowest := Never
 	for i := range d.hosts {
@@ -560,14 +561,18 @@
 		}
 	}
 	return d.least(func(i int32, h *host) (rank, bool) {
-		log, apart, far := d.backlog(now, h), int64(1), int64(1)
-		if d.expectHeld(now, j, i) > 0 && log < gateFactor*int64(lowest)+j.Prompt {
-			apart = 0
+		log, held, apart, far := d.backlog(now, h), d.expectHeld(now, j, i), int64(2), int64(1)
+		if log < gateFactor*int64(lowest)+j.Prompt {
+			if held > j.Shared {
+				apart = 0
+			} else if held > 0 {
+				apart = 1
+			}
 		}
 		if h.zone == d.place.Zone {
 			far = 0
 		}
-		return rank{apart, log + j.Prompt - d.expectHeld(now, j, i), far}, h.role == Reader && d.fit(now, j, i, pass)
+		return rank{apart, log + j.Prompt - held, far}, h.role == Reader && d.fit(now, j, i, pass)
 	})
 }
 
