--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -16,17 +17,22 @@
 	shortPrompt = 2000     // unshared prompt tokens under which a mixed host reads by itself (design page)
 	nearStreams = 1        // writers within so many streams of the fewest are chosen by nearness (design page)
 
-	highQuantile = 0.9     // answer times are judged by this quantile: one slow job in ten is no verdict
-	slowAgainst  = 3.0     // times its fellows' median: uneven load makes 2, sickness 4 and more
-	slowHarms    = 1.0 / 3 // of the expected time: answers faster than that harm nobody, whatever fellows do
-	paceAgainst  = 2.5     // times its fellows' stream time for the same work; lengths vary by less over a few streams
-	stallAgainst = 2.0     // silence of so many high answer times is no chance
-	stallFloor   = 1.0 / 4 // of the expected time, taken as the high answer time while hosts are quicker
-	failKeep     = 0.8     // weight of the past in a host's share of failures
-	failLimit    = 0.3     // two failures in a row from clean, or one launch in three
-	mostAside    = 3       // one host in so many of a role may be set aside for being slow: the rest must bear its load
-	coldMargin   = 0.5     // of what topples a cold host: the rest is for the dispatchers that can't be seen
-	holdMargin   = 0.6     // of the time for letting go that a held state may wait
+	highQuantile = 0.9      // answer times are judged by this quantile: one slow job in ten is no verdict
+	slowAgainst  = 3.0      // times its fellows' median: uneven load makes 2, sickness 4 and more
+	slowHarms    = 1.0 / 3  // of the expected time: answers faster than that harm nobody, whatever fellows do
+	paceAgainst  = 2.5      // times its fellows' stream time for the same work; lengths vary by less over a few streams
+	stallAgainst = 2.0      // silence of so many high answer times is no chance
+	stallFloor   = 1.0 / 4  // of the expected time, taken as the high answer time while hosts are quicker
+	failKeep     = 0.8      // weight of the past in a host's share of failures
+	failLimit    = 0.3      // two failures in a row from clean, or one launch in three
+	mostAside    = 3        // one host in so many of a role may be set aside for being slow: the rest must bear its load
+	poorAnswer   = 1.0 / 2  // of the expected time for one stage of two: what takes longer has waited too long
+	poorShare    = 1.0 / 4  // of the answers: more than one sick host in a pool makes, so the pool itself is full
+	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
+	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
+	waitShare    = 1.0 / 4  // of the expected time a new job may wait for room: the rest is needed for the work
+	coldMargin   = 0.5      // of what topples a cold host: the rest is for the dispatchers that can't be seen
+	holdMargin   = 0.6      // of the time for letting go that a held state may wait
 )
 
 // Dispatcher decides for one dispatcher. It shares nothing with others.
@@ -56,6 +62,12 @@
 	wakeAt   Nanos // the Wake that is out; Never = none
 	watching bool
 	watchAt  Nanos
+	active   int32   // jobs launched and not over
+	room     float64 // how many of them the pools bear
+	good     int32   // answers since the room was last set ...
+	poor     int32   // ... and those that came late or were turned away
+	roomAt   Nanos
+	pulls    [2]ring  // first answers of writers, as shares of expected: same cell as the reader, another
 	says     []string // lines for the log
 	scratch  []float64
 }
@@ -84,7 +96,7 @@
 	}
 	d := &Dispatcher{place: place, tracks: tracks, tenants: tenants, roles: roles, cold: cold, launching: launching,
 		answering: answering, listing: listing, release: release, rng: chance{seed}, jobs: newSlab(),
-		byID: make(map[HostID]int32), holds: newBeginnings(), wakeAt: Never, lookAt: Never}
+		byID: make(map[HostID]int32), holds: newBeginnings(), room: math.MaxInt32, wakeAt: Never, lookAt: Never}
 	d.rng.below(1)
 	d.step = max(shortest/16, answering.Round, 1) // fine against every time that a decision waits for
 	d.watching = !listing.Asked
@@ -192,9 +204,25 @@
 			d.setAside(now, h, "slow streams", true)
 		}
 	}
+	d.setRoom(now)
 	d.holds.sweep(now)
 }
 
+// setRoom finds how many jobs in hand the pools bear, from how their answers come: cut when many are late or turned
+// away, else let grow. It guards against load beyond capacity, whatever made the one grow or the other shrink. It
+// may do harm when answers are late for a reason that fewer jobs don't cure.
+func (d *Dispatcher) setRoom(now Nanos) {
+	if now < d.roomAt {
+		return
+	}
+	if all := d.good + d.poor; d.poor > 1 && float64(d.poor) > poorShare*float64(all) {
+		d.room = max(roomCut*min(d.room, float64(d.active)), 1)
+	} else if float64(d.active) > d.room/2 {
+		d.room += roomGrow*d.room + 1
+	}
+	d.good, d.poor, d.roomAt = 0, 0, now+d.tracks[0].Expected/2
+}
+
 // median of a figure over the hosts of a role that have one.
 func (d *Dispatcher) median(role Role, figure func(h *host) float64) float64 {
 	xs := d.scratch[:0]
@@ -221,14 +249,18 @@
 	case Failed, Broken:
 		bad = 1
 	case Late, Recalled:
-		if j.phase == streaming || !d.stalled(now, h) && !j.withdrew || j.over {
+		if d.crawls(now, j) || j.phase == streaming || !d.stalled(now, h) && !j.withdrew || j.over {
+			if how == Late {
+				d.poor++
+			}
 			return
 		}
 		bad, h.doubt, why = 1, max(h.doubt, 2*failLimit), "silent"
 	case Unreachable:
 		bad, h.doubt, h.downed, why = 1, max(h.doubt, 2*failLimit), true, "not reached"
 	case Turned:
-		h.fullTill = now + j.expected/16
+		d.poor++
+		h.fullTill = now + j.expected/8
 		return
 	case NotSent, Stateless:
 		return
@@ -288,6 +320,9 @@
 		}
 		d.jobs.dequeue()
 		if j := &d.jobs.jobs[slot]; j.used && j.over && !j.out {
+			if j.launches > 0 {
+				d.active--
+			}
 			d.jobs.drop(slot)
 		}
 	}
@@ -330,6 +365,12 @@
 		return d.letGo(j)
 	case now+d.answering.Round >= j.Deadline, j.launches >= d.launching.Most, !d.mayLaunch(now, j):
 		return d.giveUp(now, j)
+	case j.launches == 0 && float64(d.active) >= d.room:
+		if now >= j.born+Nanos(waitShare*float64(j.expected)) {
+			return d.giveUp(now, j)
+		}
+		d.lookAgain(now, j, min(now+d.step, j.Deadline-d.answering.Round))
+		return Decision{}, false
 	}
 	to := noHost
 	for pass := 0; pass < 3 && to == noHost; pass++ {
@@ -435,7 +476,9 @@
 		}
 	}
 	j.out, j.withdrew, j.at, j.sent = true, false, to, now
-	j.launches++
+	if j.launches++; j.launches == 1 {
+		d.active++
+	}
 	return Decision{Verb: Launch, Job: j.ID, Host: h.id, For: d.timeOut(now, j, h.role)}
 }
 
@@ -535,13 +578,35 @@
 // pickMixed is the design's rule for short prompts: the mixed host with fewest own streams reads them itself. It
 // also serves where no reader is left on the list.
 func (d *Dispatcher) pickMixed(now Nanos, j *job, pass int) int32 {
-	fewest := d.fewestStreams(now, j, pass)
+	bound := d.fewestStreams(now, j, pass) + nearStreams
+	if d.pressed(now, j, pass) {
+		bound *= gateFactor
+	}
 	return d.least(func(i int32, h *host) (rank, bool) {
 		short := j.Prompt-d.expectHeld(now, j, i) < shortPrompt
-		return rank{int64(h.streams)}, h.role == Mixed && short && h.streams <= fewest+nearStreams && d.fit(now, j, i, pass)
+		return rank{int64(h.streams)}, h.role == Mixed && short && h.streams <= bound && d.fit(now, j, i, pass)
 	})
 }
 
+// pressed tells that every reader has more tokens in wait than clients allow time to read, by their own allowance
+// for prompt length, in a quarter of the expected time.
+func (d *Dispatcher) pressed(now Nanos, j *job, pass int) bool {
+	t := &d.tracks[j.Track]
+	lowest := d.shortest(now, j, pass)
+	return lowest == Never || lowest*t.ExpectedPer1k/1000 > Nanos(waitShare*float64(t.Expected))
+}
+
+// shortest is the fewest queued prompt tokens at any reader; Never if there is none.
+func (d *Dispatcher) shortest(now Nanos, j *job, pass int) Nanos {
+	lowest := Never
+	for i := range d.hosts {
+		if h := &d.hosts[i]; h.role == Reader && d.fit(now, j, int32(i), pass) {
+			lowest = min(lowest, Nanos(d.backlog(now, h)))
+		}
+	}
+	return lowest
+}
+
 // backlog is the design's load signal of a reader: own unread prompts, plus what the host reported of late.
 func (d *Dispatcher) backlog(now Nanos, h *host) int64 {
 	if h.load.Unread > 0 && now-h.loadAt < d.tracks[0].Expected {
@@ -554,12 +619,7 @@
 // this prompt's own unheld ones counted in. A reader that has read this session before shares the longest beginning
 // and goes first: sessions that roam are read anew each time, and what they leave drives out what others need.
 func (d *Dispatcher) pickReader(now Nanos, j *job, pass int) int32 {
-	lowest := Never
-	for i := range d.hosts {
-		if h := &d.hosts[i]; h.role == Reader && d.fit(now, j, int32(i), pass) {
-			lowest = min(lowest, Nanos(d.backlog(now, h)))
-		}
-	}
+	lowest := d.shortest(now, j, pass)
 	return d.least(func(i int32, h *host) (rank, bool) {
 		log, held, apart, far := d.backlog(now, h), d.expectHeld(now, j, i), int64(2), int64(1)
 		if log < gateFactor*int64(lowest)+j.Prompt {
@@ -587,9 +647,28 @@
 	return fewest
 }
 
-// pickWriter: the fewest own streams; within one of the fewest the reader's cell, then its zone.
+// farSlow tells that pulls from other cells take far longer than those within one, and long enough to matter: the
+// links crawl. It lapses as soon as a few quick ones are seen, or none for some time.
+func (d *Dispatcher) farSlow(now Nanos) bool {
+	since := now - 4*d.tracks[0].Expected
+	far := d.pulls[1].quantile(since, 0.5)
+	return far > slowHarms/2 && far > gateFactor*d.pulls[0].quantile(since, 0.5)
+}
+
+// crawls tells that the launch that is out pulls its state over links that crawl: neither its writer nor the load
+// is to blame for its time.
+func (d *Dispatcher) crawls(now Nanos, j *job) bool {
+	return j.phase == toWrite && d.hosts[j.reader].cell != d.hosts[j.at].cell && d.farSlow(now)
+}
+
+// pickWriter: the fewest own streams; within one of the fewest the reader's cell, then its zone. While far links
+// crawl, nearness holds like a reader's affinity: until a near writer has twice the fewest.
 func (d *Dispatcher) pickWriter(now Nanos, j *job, pass int) int32 {
 	fewest := d.fewestStreams(now, j, pass)
+	bound := fewest + nearStreams
+	if d.farSlow(now) {
+		bound *= gateFactor
+	}
 	from := &d.hosts[j.reader]
 	return d.least(func(i int32, h *host) (rank, bool) {
 		far := int64(2)
@@ -599,6 +678,6 @@
 			far = 1
 		}
 		r := rank{far, int64(h.streams), int64(h.load.Memory * 100)}
-		return r, h.role != Reader && h.streams <= fewest+nearStreams && d.fit(now, j, i, pass)
+		return r, h.role != Reader && h.streams <= bound && d.fit(now, j, i, pass)
 	})
 }
--- a/policy/told.go
+++ b/policy/told.go
@@ -79,8 +79,25 @@
 	if h.out == 0 {
 		h.longest = 0
 	}
-	if good {
-		h.carried.add(now, d.cold.Window)
-		h.answers.add(now, float64(elapsed)/float64(j.expected))
+	x := float64(elapsed) / float64(j.expected)
+	if j.phase == toWrite && (good || j.withdrew) { // a pull withdrawn took at least so long
+		far := 1
+		if d.hosts[j.reader].cell == h.cell {
+			far = 0
+		}
+		d.pulls[far].add(now, x)
+	}
+	if !good {
+		return
+	}
+	h.carried.add(now, d.cold.Window)
+	switch {
+	case d.crawls(now, j):
+	case x > poorAnswer:
+		d.poor++
+		h.answers.add(now, x)
+	default:
+		d.good++
+		h.answers.add(now, x)
 	}
 }
