--- a/policy/policy.go
+++ b/policy/policy.go
@@ -583,17 +583,28 @@
 		bound *= gateFactor
 	}
 	return d.least(func(i int32, h *host) (rank, bool) {
-		short := j.Prompt-d.expectHeld(now, j, i) < shortPrompt
+		short := j.Prompt-max(j.Shared, d.expectHeld(now, j, i)) < shortPrompt
 		return rank{int64(h.streams)}, h.role == Mixed && short && h.streams <= bound && d.fit(now, j, i, pass)
 	})
 }
 
-// pressed tells that every reader has more tokens in wait than clients allow time to read, by their own allowance
-// for prompt length, in a quarter of the expected time.
+// pressed tells that no reader is likely to read this job in good time: each is on trial, has more tokens in wait
+// than clients allow time for (by their own allowance for prompt length), or has kept launches waiting of late. It
+// guards against pools that shrink and against readers taken up by work that this dispatcher can't see.
 func (d *Dispatcher) pressed(now Nanos, j *job, pass int) bool {
 	t := &d.tracks[j.Track]
-	lowest := d.shortest(now, j, pass)
-	return lowest == Never || lowest*t.ExpectedPer1k/1000 > Nanos(waitShare*float64(t.Expected))
+	wait := Nanos(waitShare * float64(t.Expected))
+	for i := range d.hosts {
+		h := &d.hosts[i]
+		if h.role != Reader || h.trial || !d.fit(now, j, int32(i), pass) {
+			continue
+		}
+		late := h.out > 0 && (h.last > waitShare || now-h.moved > wait)
+		if !late && Nanos(d.backlog(now, h))*t.ExpectedPer1k/1000 < wait {
+			return false
+		}
+	}
+	return true
 }
 
 // shortest is the fewest queued prompt tokens at any reader; Never if there is none.
--- a/policy/state.go
+++ b/policy/state.go
@@ -127,6 +127,7 @@
 	begun    int32   // of the streams, those that have begun
 	answers  ring    // first answers, as shares of the job's expected time
 	high     float64 // high quantile of them
+	last     float64 // the last of them
 	busy     float64 // stream time of late
 	done     float64 // work of the streams that ended of late
 	since    Nanos   // both count from then
--- a/policy/told.go
+++ b/policy/told.go
@@ -90,6 +90,7 @@
 	if !good {
 		return
 	}
+	h.last = x
 	h.carried.add(now, d.cold.Window)
 	switch {
 	case d.crawls(now, j):
