--- a/policy/policy.go
+++ b/policy/policy.go
@@ -578,12 +578,24 @@
 // pickMixed is the design's rule for short prompts: the mixed host with fewest own streams reads them itself. It
 // also serves where no reader is left on the list.
 func (d *Dispatcher) pickMixed(now Nanos, j *job, pass int) int32 {
-	bound := d.fewestStreams(now, j, pass) + nearStreams
-	if d.pressed(now, j, pass) {
+	bound, seed := d.fewestStreams(now, j, pass)+nearStreams, d.pressed(now, j, pass)
+	if seed {
 		bound *= gateFactor
 	}
+	if !seed {
+		seed = true
+		for i := range d.hosts {
+			if d.hosts[i].role == Reader && d.expectHeld(now, j, int32(i)) > 0 {
+				seed = false
+			}
+		}
+	}
 	return d.least(func(i int32, h *host) (rank, bool) {
-		short := j.Prompt-max(j.Shared, d.expectHeld(now, j, i)) < shortPrompt
+		kept := d.expectHeld(now, j, i)
+		if seed {
+			kept = max(kept, j.Shared)
+		}
+		short := j.Prompt-kept < shortPrompt
 		return rank{int64(h.streams)}, h.role == Mixed && short && h.streams <= bound && d.fit(now, j, i, pass)
 	})
 }
