--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -38,10 +38,15 @@
 	rest      []byte // what is left of the line in hand
 }
 
-// Serve answers batches until the input ends.
-func Serve(r io.Reader, w io.Writer) error {
+func newHost(r io.Reader, w io.Writer) *host {
 	h := &host{in: bufio.NewScanner(r), out: bufio.NewWriterSize(w, 1<<16), instances: make(map[int64]*instance)}
 	h.in.Buffer(make([]byte, 1<<16), longestLine)
+	return h
+}
+
+// Serve answers batches until the input ends.
+func Serve(r io.Reader, w io.Writer) error {
+	h := newHost(r, w)
 	for {
 		more, err := h.batch()
 		if err != nil {
@@ -70,7 +75,7 @@
 	if name := h.word(); string(name) != "SYNC" {
 		return false, fmt.Errorf("a batch starts with SYNC, not %q", name)
 	}
-	f := fields{h: h}
+	f := fields{h: h, name: "SYNC"}
 	h.now = policy.Nanos(f.whole("clock"))
 	if f.err != nil {
 		return false, f.err
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -363,7 +363,7 @@
 		return Decision{}, false
 	case j.phase == toRead && j.held:
 		return d.letGo(j)
-	case now+d.answering.Round >= j.Deadline, j.launches >= d.launching.Most, !d.mayLaunch(now, j):
+	case j.doomed, now+d.answering.Round >= j.Deadline, j.launches >= d.launching.Most, !d.mayLaunch(now, j):
 		return d.giveUp(now, j)
 	case j.launches == 0 && float64(d.active) >= d.room:
 		if now >= j.born+Nanos(waitShare*float64(j.expected)) {
@@ -437,6 +437,7 @@
 
 // giveUp ends a job: first whatever is held goes, then the client is told; a nack wherever it tells the truth.
 func (d *Dispatcher) giveUp(now Nanos, j *job) (Decision, bool) {
+	j.doomed = true
 	if j.held && !j.out {
 		return d.letGo(j)
 	}
--- /dev/null
+++ b/policy/scenario_test.go
@@ -0,0 +1,273 @@
+package policy
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// The scenarios in testdata are played line by line; all times are milliseconds. A line holds one
+// or several of these, set apart by semicolons; loop and end stand alone:
+//
+//	set NAME VALUE                     a setting, before anything else
+//	host ID ROLE [zone=Z cell=C health=H launched=T]   the list names a host
+//	full                               the hosts that follow are all there are
+//	restored-failed                    the list could not be had
+//	at T                               time goes on; wakes that fall due on the way are delivered
+//	job ID [prompt=N shared=N prefix=K session=K patience=T]
+//	began ID | ended ID OUTCOME [after=T] [over] | left ID
+//	expect VERB [ID] [on HOST[|HOST]]  the next decision, wakes and log lines left out
+//	nothing                            no decision is left
+//	log TEXT                           a log line with TEXT was given
+//	loop A B ... end                   the lines between, with $ standing for A to B
+//
+// A scenario fails if a decision is left at its end.
+
+const ms = Nanos(1e6)
+
+type player struct {
+	t       *testing.T
+	at      string
+	set     map[string]int
+	d       *Dispatcher
+	now     Nanos
+	wake    Nanos
+	queue   []Decision
+	log     []string
+	shots   map[int]Shot
+	listing bool
+}
+
+func TestScenarios(t *testing.T) {
+	files, _ := filepath.Glob("testdata/*.txt")
+	if len(files) == 0 {
+		t.Fatal("no scenarios in testdata")
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, part := range strings.Split(string(text), "\n== ")[1:] {
+			name, body, _ := strings.Cut(part, "\n")
+			t.Run(strings.TrimSuffix(filepath.Base(file), ".txt")+"/"+name, func(t *testing.T) {
+				p := &player{t: t, now: 1000 * ms, wake: Never, shots: map[int]Shot{}, set: map[string]int{"expected": 1000,
+					"per1k": 60, "patience": 5000, "most": 6, "recall": 1, "slack": 16, "round": 4, "release": 500,
+					"from": 30, "warm": 10000, "multiple": 250, "window": 2000, "advice": 1, "maxadvice": 1000, "count": 2}}
+				p.play(strings.Split(body, "\n"))
+				p.queueEmpty("the end")
+			})
+		}
+	}
+}
+
+func (p *player) play(lines []string) {
+	for i := 0; i < len(lines); i++ {
+		line, _, _ := strings.Cut(lines[i], "#")
+		if w := strings.Fields(line); len(w) > 0 && w[0] == "loop" {
+			last := i
+			for strings.TrimSpace(lines[last]) != "end" {
+				last++
+			}
+			for n := p.whole(w[1]); n <= p.whole(w[2]); n++ {
+				p.play(strings.Split(strings.ReplaceAll(strings.Join(lines[i+1:last], "\n"), "$", strconv.Itoa(n)), "\n"))
+			}
+			i = last
+			continue
+		}
+		for p.at = range strings.SplitSeq(line, ";") {
+			if w := strings.Fields(p.at); len(w) > 0 {
+				p.do(w)
+			}
+		}
+	}
+}
+
+func (p *player) whole(s string) int {
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		p.t.Fatalf("%s: %v", p.at, err)
+	}
+	return n
+}
+
+func (p *player) start() {
+	s := func(name string) Nanos { return Nanos(p.set[name]) * ms }
+	var err error
+	p.d, err = New(1, Place{Count: int32(p.set["count"])}, []Track{{Expected: s("expected"), ExpectedPer1k: s("per1k"),
+		Patience: s("patience"), Payoff: 1, TokenGap: 50 * ms, Effect: Effect(p.set["effect"]), Group: Group(p.set["group"]),
+		Window: s("memory")}}, []Tenant{{PerSecond: float64(p.set["share"])}}, []Role{Reader, Writer, Mixed},
+		ColdStart{From: float64(p.set["from"]) / 100, Warm: s("warm"), Multiple: float64(p.set["multiple"]) / 100,
+			Window: s("window")},
+		Launching{Most: int32(p.set["most"]), Recall: p.set["recall"] == 1, ReadAtPens: p.set["pens"] == 1},
+		Answering{Slack: s("slack"), Round: s("round"), Advice: p.set["advice"] == 1, MaxAdvice: s("maxadvice")},
+		Listing{Asked: p.set["asked"] == 1, Within: 10000 * ms}, s("release"))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// settle closes an open list and pulls what was decided.
+func (p *player) settle() {
+	if p.listing {
+		p.listing = false
+		p.d.ListEnd(p.now)
+	}
+	for what, ok := p.d.Next(p.now); ok; what, ok = p.d.Next(p.now) {
+		switch what.Verb {
+		case Wake:
+			p.wake = min(p.wake, p.now+what.For)
+		case Say:
+			p.log = append(p.log, what.Text)
+		case Launch:
+			if _, again := p.shots[int(what.Job)]; again {
+				p.shots[int(what.Job)]++
+			} else {
+				p.shots[int(what.Job)] = 0
+			}
+			fallthrough
+		default:
+			p.queue = append(p.queue, what)
+		}
+	}
+}
+
+func (p *player) do(w []string) {
+	if p.d == nil && w[0] != "set" {
+		p.start()
+	}
+	opts := map[string]int{"zone": 0, "cell": 0, "launched": 0, "prompt": 500, "shared": 0, "prefix": 0, "session": 0,
+		"patience": p.set["patience"], "after": 50, "health": 0}
+	for _, o := range w {
+		if k, v, ok := strings.Cut(o, "="); ok {
+			if _, known := opts[k]; !known {
+				p.t.Fatalf("%s: unknown option %s", p.at, k)
+			}
+			opts[k] = p.whole(v)
+		}
+	}
+	id := 0
+	if len(w) > 1 && w[0] != "set" && w[0] != "log" && w[0] != "expect" {
+		id = p.whole(w[1])
+	}
+	over := w[len(w)-1] == "over"
+	switch w[0] {
+	case "set":
+		if p.d != nil {
+			p.t.Fatalf("%s: settings come first", p.at)
+		}
+		p.set[w[1]] = p.whole(w[2])
+		return
+	case "host", "full":
+		if !p.listing || w[0] == "full" {
+			p.d.ListBegin(w[0] == "full")
+		}
+		if p.listing = true; w[0] == "host" {
+			role := map[string]KindID{"reader": 0, "writer": 1, "mixed": 2}[w[2]]
+			launched := Nanos(opts["launched"]) * ms
+			p.d.HostListed(HostID(id), ZoneID(opts["zone"]), role, CellID(opts["cell"]), Health(opts["health"]), launched)
+		}
+		return
+	case "restored-failed":
+		p.d.ListFailed(p.now)
+	case "at":
+		p.settle()
+		for to := Nanos(id) * ms; p.wake <= to; {
+			p.now, p.wake = max(p.wake, p.now), Never
+			p.d.Woken(p.now)
+			p.settle()
+		}
+		p.now = Nanos(id) * ms
+	case "job":
+		p.settle()
+		p.d.JobArrived(p.now, Job{ID: JobID(id), Tenant: -1, Session: SessionKey(opts["session"]),
+			Prefix: PrefixKey(opts["prefix"]), Prompt: int64(opts["prompt"]), Shared: int64(opts["shared"]), Cap: 200,
+			Deadline: p.now + Nanos(opts["patience"])*ms})
+	case "began":
+		p.d.StreamBegan(p.now, JobID(id), p.shots[id], Nanos(opts["after"])*ms)
+	case "ended":
+		how, ok := map[string]Outcome{"honoured": Honoured, "read": Read, "turned": Turned, "stateless": Stateless,
+			"unreachable": Unreachable, "notsent": NotSent, "failed": Failed, "late": Late, "broken": Broken,
+			"recalled": Recalled}[w[2]]
+		if !ok {
+			p.t.Fatalf("%s: unknown outcome", p.at)
+		}
+		p.d.LaunchEnded(p.now, JobID(id), p.shots[id], how, Nanos(opts["after"])*ms, over, NoLoad)
+	case "left":
+		p.d.ClientLeft(p.now, JobID(id))
+	case "expect":
+		p.expect(w[1:])
+	case "nothing":
+		p.queueEmpty(p.at)
+	case "log":
+		p.settle()
+		if want := strings.Join(w[1:], " "); !strings.Contains(strings.Join(p.log, "\n"), want) {
+			p.t.Fatalf("no log line with %q among %q", want, p.log)
+		}
+	default:
+		p.t.Fatalf("%s: unknown line", p.at)
+	}
+	p.settle()
+}
+
+func (p *player) expect(w []string) {
+	p.t.Helper()
+	if len(p.queue) == 0 {
+		p.t.Fatalf("at %d: %s: nothing was decided", p.now/ms, p.at)
+	}
+	got := p.queue[0]
+	p.queue = p.queue[1:]
+	name := map[Verb]string{Launch: "launch", Recall: "recall", Nack: "nack", Abandon: "abandon", LetGo: "letgo",
+		Watch: "watch"}[got.Verb]
+	ok := name == w[0] && (len(w) < 2 || fmt.Sprint(got.Job) == w[1])
+	if ok && len(w) > 3 {
+		ok = false
+		for _, h := range strings.Split(w[3], "|") {
+			ok = ok || fmt.Sprint(got.Host) == h
+		}
+	}
+	if !ok {
+		p.t.Fatalf("at %d: %s: got %s %d on %d", p.now/ms, p.at, name, got.Job, got.Host)
+	}
+}
+
+func (p *player) queueEmpty(where string) {
+	p.t.Helper()
+	p.settle()
+	if len(p.queue) > 0 {
+		p.t.Fatalf("at %d: %s: left over: %+v", p.now/ms, where, p.queue[0])
+	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	p := &player{t: t, set: map[string]int{"expected": 1000, "patience": 5000, "most": 6, "release": 500, "count": 1}}
+	p.start()
+	p.d.ListBegin(true)
+	p.d.HostListed(1, 0, 0, 0, Serving, 0)
+	p.d.HostListed(2, 0, 1, 0, Serving, 0)
+	p.d.ListEnd(0)
+	now, id := 1000*ms, JobID(0)
+	pull := func() {
+		for _, ok := p.d.Next(now); ok; _, ok = p.d.Next(now) {
+		}
+	}
+	one := func() {
+		now, id = now+10*ms, id+1
+		p.d.JobArrived(now, Job{ID: id, Tenant: -1, Session: 5, Prefix: 7, Prompt: 500, Shared: 400, Deadline: now + 5e9})
+		pull()
+		p.d.LaunchEnded(now, id, 0, Read, 5*ms, false, NoLoad)
+		pull()
+		p.d.StreamBegan(now, id, 1, 5*ms)
+		p.d.LaunchEnded(now, id, 1, Honoured, 5*ms, true, NoLoad)
+		pull()
+	}
+	for range 100 {
+		one()
+	}
+	if n := testing.AllocsPerRun(500, one); n > 0 {
+		t.Fatalf("%v allocations for a job, want none", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,6 +26,7 @@
 	held     bool // a state or place is held for it
 	unsplit  bool // its launch both reads and answers
 	mayRun   bool // some launch may have run
+	doomed   bool // given up; what is held goes first
 	launches int32
 	at       int32 // host of the launch that is out
 	reader   int32 // host that holds the state
