--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,7 +7,6 @@
 
 import (
 	"fmt"
-	"math"
 	"slices"
 )
 
@@ -33,76 +32,9 @@
 	waitShare    = 1.0 / 4  // of the expected time a new job may wait for room: the rest is needed for the work
 	coldMargin   = 0.5      // of what topples a cold host: the rest is for the dispatchers that can't be seen
 	holdMargin   = 0.6      // of the time for letting go that a held state may wait
+	lookParts    = 16       // of the shortest time that decisions wait for, between two looks at all that is in hand
 )
 
-// Dispatcher decides for one dispatcher. It shares nothing with others.
-type Dispatcher struct {
-	place     Place
-	tracks    []Track
-	tenants   []Tenant
-	roles     []Role
-	cold      ColdStart
-	launching Launching
-	answering Answering
-	listing   Listing
-	release   Nanos
-
-	rng      chance
-	jobs     slab
-	hosts    []host
-	byID     map[HostID]int32
-	holds    beginnings
-	usual    [roleCount]float64 // median over hosts of their high answer times, as shares of the expected time
-	pace     [roleCount]float64 // median over hosts of their stream time for a unit of work
-	lasts    Nanos              // usual length of a stream
-	ended    int64              // streams seen to their end
-	step     Nanos              // longest time between two looks at everything in hand
-	lookedAt Nanos
-	lookAt   Nanos // next look at everything in hand
-	wakeAt   Nanos // the Wake that is out; Never = none
-	watching bool
-	watchAt  Nanos
-	active   int32   // jobs launched and not over
-	room     float64 // how many of them the pools bear
-	good     int32   // answers since the room was last set ...
-	poor     int32   // ... and those that came late or were turned away
-	roomAt   Nanos
-	pulls    [2]ring  // first answers of writers, as shares of expected: same cell as the reader, another
-	says     []string // lines for the log
-	scratch  []float64
-}
-
-// New starts a dispatcher that knows nothing but its settings. seed feeds all chance.
-func New(seed uint64, place Place, tracks []Track, tenants []Tenant, roles []Role, cold ColdStart,
-	launching Launching, answering Answering, listing Listing, release Nanos) (*Dispatcher, error) {
-	switch {
-	case len(tracks) == 0:
-		return nil, fmt.Errorf("no tracks")
-	case len(roles) == 0:
-		return nil, fmt.Errorf("no kinds of host")
-	case launching.Most < 1:
-		return nil, fmt.Errorf("launches for a job: %d, want 1 or more", launching.Most)
-	case release <= 0:
-		return nil, fmt.Errorf("time for letting go: %d, want more than 0", release)
-	case place.Count < 1:
-		return nil, fmt.Errorf("number of dispatchers: %d, want 1 or more", place.Count)
-	}
-	shortest := release
-	for i, t := range tracks {
-		if t.Expected <= 0 || t.Patience <= 0 {
-			return nil, fmt.Errorf("track %d: expected time %d and patience %d: want both above 0", i, t.Expected, t.Patience)
-		}
-		shortest = min(shortest, t.Expected)
-	}
-	d := &Dispatcher{place: place, tracks: tracks, tenants: tenants, roles: roles, cold: cold, launching: launching,
-		answering: answering, listing: listing, release: release, rng: chance{seed}, jobs: newSlab(),
-		byID: make(map[HostID]int32), holds: newBeginnings(), room: math.MaxInt32, wakeAt: Never, lookAt: Never}
-	d.rng.below(1)
-	d.step = max(shortest/16, answering.Round, 1) // fine against every time that a decision waits for
-	d.watching = !listing.Asked
-	return d, nil
-}
-
 // ---- What is told, where judgement goes in.
 
 // ListFailed tells that the list could not be had.
@@ -186,6 +118,16 @@
 		h.high = h.answers.quantile(now-8*d.tracks[0].Expected, highQuantile)
 	}
 	d.lookedAt = now
+	busy, done := 0.0, 0.0
+	for i := range d.hosts {
+		if h := &d.hosts[i]; h.health == Serving && now >= h.aside {
+			busy, done = busy+h.busy, done+h.done
+		}
+	}
+	if d.slowed = 0; d.ended > 32 && done > 0 {
+		d.best = min(d.best, busy/done)
+		d.slowed = busy / done / d.best
+	}
 	for role := Reader; role < roleCount; role++ {
 		if x := d.median(role, func(h *host) float64 { return h.high }); x > 0 {
 			d.usual[role] = x
@@ -215,7 +157,7 @@
 	if now < d.roomAt {
 		return
 	}
-	if all := d.good + d.poor; d.poor > 1 && float64(d.poor) > poorShare*float64(all) {
+	if all := d.good + d.poor; d.poor > 1 && float64(d.poor) > poorShare*float64(all) || d.slowed > paceAgainst {
 		d.room = max(roomCut*min(d.room, float64(d.active)), 1)
 	} else if float64(d.active) > d.room/2 {
 		d.room += roomGrow*d.room + 1
@@ -223,24 +165,6 @@
 	d.good, d.poor, d.roomAt = 0, 0, now+d.tracks[0].Expected/2
 }
 
-// median of a figure over the hosts of a role that have one.
-func (d *Dispatcher) median(role Role, figure func(h *host) float64) float64 {
-	xs := d.scratch[:0]
-	for i := range d.hosts {
-		if h := &d.hosts[i]; h.role == role && h.health == Serving {
-			if x := figure(h); x > 0 {
-				xs = append(xs, x)
-			}
-		}
-	}
-	d.scratch = xs
-	if len(xs) == 0 {
-		return 0
-	}
-	slices.Sort(xs)
-	return xs[len(xs)/2]
-}
-
 // judge keeps a host's share of failures. It guards against hosts that fail fast, hang, or are gone before the list
 // says so. A turned-away job is no failure: the host is full and says so.
 func (d *Dispatcher) judge(now Nanos, h *host, j *job, how Outcome) {
@@ -272,7 +196,7 @@
 	}
 	h.doubt = h.doubt*failKeep + bad*(1-failKeep)
 	if bad > 0 && h.doubt > failLimit && now >= h.aside {
-		d.setAside(now, h, why, false)
+		d.setAside(now, h, why, how == Failed || how == Broken)
 	}
 }
 
@@ -282,7 +206,7 @@
 	if sparing {
 		aside, all := 1, 0
 		for i := range d.hosts {
-			if o := &d.hosts[i]; o.role == h.role && o.health == Serving {
+			if o := &d.hosts[i]; (o.role == Reader) == (h.role == Reader) && o.health == Serving {
 				if all++; now < o.aside {
 					aside++
 				}
@@ -579,8 +503,9 @@
 // pickMixed is the design's rule for short prompts: the mixed host with fewest own streams reads them itself. It
 // also serves where no reader is left on the list.
 func (d *Dispatcher) pickMixed(now Nanos, j *job, pass int) int32 {
-	bound, seed := d.fewestStreams(now, j, pass)+nearStreams, d.pressed(now, j, pass)
-	if seed {
+	bound, pressed := d.fewestStreams(now, j, pass)+nearStreams, d.pressed(now, j, pass)
+	seed := pressed
+	if pressed {
 		bound *= gateFactor
 	}
 	if !seed {
@@ -597,7 +522,7 @@
 			kept = max(kept, j.Shared)
 		}
 		short := j.Prompt-kept < shortPrompt
-		return rank{int64(h.streams)}, h.role == Mixed && short && h.streams <= bound && d.fit(now, j, i, pass)
+		return rank{int64(h.streams)}, h.role == Mixed && short && h.streams <= bound && (pressed || h.high <= slowHarms) && d.fit(now, j, i, pass)
 	})
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -287,3 +287,60 @@
 	x = x>>rot | x<<((32-rot)&31)
 	return int32(uint64(x) * uint64(n) >> 32)
 }
+
+// Dispatcher decides for one dispatcher. It shares nothing with others.
+type Dispatcher struct {
+	place     Place
+	tracks    []Track
+	tenants   []Tenant
+	roles     []Role
+	cold      ColdStart
+	launching Launching
+	answering Answering
+	listing   Listing
+	release   Nanos
+
+	rng      chance
+	jobs     slab
+	hosts    []host
+	byID     map[HostID]int32
+	holds    beginnings
+	usual    [roleCount]float64 // median over hosts of their high answer times, as shares of the expected time
+	pace     [roleCount]float64 // median over hosts of their stream time for a unit of work
+	lasts    Nanos              // usual length of a stream
+	ended    int64              // streams seen to their end
+	step     Nanos              // longest time between two looks at everything in hand
+	lookedAt Nanos
+	lookAt   Nanos // next look at everything in hand
+	wakeAt   Nanos // the Wake that is out; Never = none
+	watching bool
+	watchAt  Nanos
+	active   int32   // jobs launched and not over
+	room     float64 // how many of them the pools bear
+	good     int32   // answers since the room was last set ...
+	poor     int32   // ... and those that came late or were turned away
+	roomAt   Nanos
+	best     float64  // the least stream time for a unit of work that all hosts together showed
+	slowed   float64  // how many times that they take now
+	pulls    [2]ring  // first answers of writers, as shares of expected: same cell as the reader, another
+	says     []string // lines for the log
+	scratch  []float64
+}
+
+// median of a figure over the hosts of a role that have one.
+func (d *Dispatcher) median(role Role, figure func(h *host) float64) float64 {
+	xs := d.scratch[:0]
+	for i := range d.hosts {
+		if h := &d.hosts[i]; h.role == role && h.health == Serving {
+			if x := figure(h); x > 0 {
+				xs = append(xs, x)
+			}
+		}
+	}
+	d.scratch = xs
+	if len(xs) == 0 {
+		return 0
+	}
+	slices.Sort(xs)
+	return xs[len(xs)/2]
+}
--- a/policy/told.go
+++ b/policy/told.go
@@ -1,7 +1,44 @@
 package policy
 
+import (
+	"fmt"
+	"math"
+)
+
 // What the host tells is taken down here, as far as no judgement goes into it; the rest is in policy.go.
 
+// New starts a dispatcher that knows nothing but its settings. seed feeds all chance.
+func New(seed uint64, place Place, tracks []Track, tenants []Tenant, roles []Role, cold ColdStart,
+	launching Launching, answering Answering, listing Listing, release Nanos) (*Dispatcher, error) {
+	switch {
+	case len(tracks) == 0:
+		return nil, fmt.Errorf("no tracks")
+	case len(roles) == 0:
+		return nil, fmt.Errorf("no kinds of host")
+	case launching.Most < 1:
+		return nil, fmt.Errorf("launches for a job: %d, want 1 or more", launching.Most)
+	case release <= 0:
+		return nil, fmt.Errorf("time for letting go: %d, want more than 0", release)
+	case place.Count < 1:
+		return nil, fmt.Errorf("number of dispatchers: %d, want 1 or more", place.Count)
+	}
+	shortest := release
+	for i, t := range tracks {
+		if t.Expected <= 0 || t.Patience <= 0 {
+			return nil, fmt.Errorf("track %d: expected time %d and patience %d: want both above 0", i, t.Expected, t.Patience)
+		}
+		shortest = min(shortest, t.Expected)
+	}
+	d := &Dispatcher{place: place, tracks: tracks, tenants: tenants, roles: roles, cold: cold, launching: launching,
+		answering: answering, listing: listing, release: release, rng: chance{seed}, jobs: newSlab(),
+		byID: make(map[HostID]int32), holds: newBeginnings(), room: math.MaxInt32, best: math.MaxFloat64,
+		wakeAt: Never, lookAt: Never}
+	d.rng.below(1)
+	d.step = max(shortest/lookParts, answering.Round, 1)
+	d.watching = !listing.Asked
+	return d, nil
+}
+
 // ListBegin opens news of the list; full lists name every host that there is.
 func (d *Dispatcher) ListBegin(full bool) {
 	if full {
