--- a/policy/policy.go
+++ b/policy/policy.go
@@ -118,16 +118,6 @@
 		h.high = h.answers.quantile(now-8*d.tracks[0].Expected, highQuantile)
 	}
 	d.lookedAt = now
-	busy, done := 0.0, 0.0
-	for i := range d.hosts {
-		if h := &d.hosts[i]; h.health == Serving && now >= h.aside {
-			busy, done = busy+h.busy, done+h.done
-		}
-	}
-	if d.slowed = 0; d.ended > 32 && done > 0 {
-		d.best = min(d.best, busy/done)
-		d.slowed = busy / done / d.best
-	}
 	for role := Reader; role < roleCount; role++ {
 		if x := d.median(role, func(h *host) float64 { return h.high }); x > 0 {
 			d.usual[role] = x
@@ -157,7 +147,7 @@
 	if now < d.roomAt {
 		return
 	}
-	if all := d.good + d.poor; d.poor > 1 && float64(d.poor) > poorShare*float64(all) || d.slowed > paceAgainst {
+	if all := d.good + d.poor; d.poor > 1 && float64(d.poor) > poorShare*float64(all) {
 		d.room = max(roomCut*min(d.room, float64(d.active)), 1)
 	} else if float64(d.active) > d.room/2 {
 		d.room += roomGrow*d.room + 1
--- a/policy/state.go
+++ b/policy/state.go
@@ -320,8 +320,6 @@
 	good     int32   // answers since the room was last set ...
 	poor     int32   // ... and those that came late or were turned away
 	roomAt   Nanos
-	best     float64  // the least stream time for a unit of work that all hosts together showed
-	slowed   float64  // how many times that they take now
 	pulls    [2]ring  // first answers of writers, as shares of expected: same cell as the reader, another
 	says     []string // lines for the log
 	scratch  []float64
--- a/policy/told.go
+++ b/policy/told.go
@@ -31,7 +31,7 @@
 	}
 	d := &Dispatcher{place: place, tracks: tracks, tenants: tenants, roles: roles, cold: cold, launching: launching,
 		answering: answering, listing: listing, release: release, rng: chance{seed}, jobs: newSlab(),
-		byID: make(map[HostID]int32), holds: newBeginnings(), room: math.MaxInt32, best: math.MaxFloat64,
+		byID: make(map[HostID]int32), holds: newBeginnings(), room: math.MaxInt32,
 		wakeAt: Never, lookAt: Never}
 	d.rng.below(1)
 	d.step = max(shortest/lookParts, answering.Round, 1)
