--- a/policy/policy.go
+++ b/policy/policy.go
@@ -561,7 +561,7 @@
 	lowest := d.shortest(now, j, pass)
 	return d.least(func(i int32, h *host) (rank, bool) {
 		log, held, apart, far := d.backlog(now, h), d.expectHeld(now, j, i), int64(2), int64(1)
-		if log < gateFactor*int64(lowest)+j.Prompt {
+		if log < gateFactor*(int64(lowest)+j.Prompt) {
 			if held > j.Shared {
 				apart = 0
 			} else if held > 0 {
