--- a/policy/state.go
+++ b/policy/state.go
@@ -320,9 +320,9 @@
 	good     int32   // answers since the room was last set ...
 	poor     int32   // ... and those that came late or were turned away
 	roomAt   Nanos
-	pulls   [2]ring  // first answers of writers, as shares of expected: same cell as the reader, another
-	says    []string // lines for the log
-	scratch []float64
+	pulls    [2]ring  // first answers of writers, as shares of expected: same cell as the reader, another
+	says     []string // lines for the log
+	scratch  []float64
 }
 
 // median of a figure over the hosts of a role that have one.
