A window of own launches at each reader, cut by late reads

Own launches at a reader are bound once a read takes over a quarter of the expected time; a new job that finds no window waits a quarter of its expected time, then is nacked.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,6 +26,7 @@
 	failLimit    = 0.3      // two failures in a row from clean, or one launch in three
 	mostAside    = 3        // one host in so many of a role may be set aside for being slow: the rest must bear its load
 	poorAnswer   = 1.0 / 2  // of the expected time for one stage of two: what takes longer has waited too long
+	lateRead     = 1.0 / 4  // of the expected time: a read that takes longer has waited in a queue
 	poorShare    = 1.0 / 4  // of the answers: more than one sick host in a pool makes, so the pool itself is full
 	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
 	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
@@ -140,6 +141,19 @@
 	d.holds.sweep(now)
 }
 
+// setWindow bounds own launches at a reader by how long its reads take: a queue there makes sessions come back later
+// than their text is kept, which makes more to read and so a longer queue. It starts with the first late read.
+func (d *Dispatcher) setWindow(h *host, x float64) {
+	if x > lateRead {
+		if h.window == 0 {
+			h.window = float64(h.out + 1)
+		}
+		h.window = max(roomCut*h.window, 1)
+	} else if h.window > 0 {
+		h.window += 1 / h.window
+	}
+}
+
 // setRoom finds how many jobs in hand the pools bear, from how their answers come: cut when many are late or turned
 // away, else let grow. It guards against load beyond capacity, whatever made the one grow or the other shrink. It
 // may do harm when answers are late for a reason that fewer jobs don't cure.
@@ -346,6 +360,9 @@
 	if j.held && now >= j.heldFrom+Nanos(holdMargin*float64(d.release)) {
 		return true
 	}
+	if j.launches == 0 {
+		return now >= j.born+Nanos(waitShare*float64(j.expected))
+	}
 	return now >= j.born+j.expected/2 // half is needed for the work itself
 }
 
@@ -427,7 +444,7 @@
 	switch {
 	case h.health != Serving || !d.inGroup(j, h) || !d.coldRoom(now, h): // rules two, three and four
 		return false
-	case now < h.fullTill || now < h.aside:
+	case now < h.fullTill || now < h.aside || h.role == Reader && h.window > 0 && float64(h.out) >= h.window:
 		return false
 	case pass < 2 && (h.trial && h.out > 0 || d.stalled(now, h)):
 		return false
--- a/policy/state.go
+++ b/policy/state.go
@@ -138,6 +138,7 @@
 	trial    bool    // back from aside, not yet proven
 	downed   bool    // has not answered since it could not be reached
 	fullTill Nanos
+	window   float64 // most own launches out at a reader; 0 = no bound
 	load     Load
 	loadAt   Nanos
 	sent     flow // own launches to it
--- a/policy/told.go
+++ b/policy/told.go
@@ -129,6 +129,9 @@
 	}
 	h.last = x
 	h.carried.add(now, d.cold.Window)
+	if h.role == Reader {
+		d.setWindow(h, x)
+	}
 	switch {
 	case d.crawls(now, j):
 	case x > poorAnswer:
