--- a/policy/policy.go
+++ b/policy/policy.go
@@ -141,16 +141,17 @@
 	d.holds.sweep(now)
 }
 
-// setWindow bounds own launches at a reader by how long its reads take: a queue there makes sessions come back later
-// than their text is kept, which makes more to read and so a longer queue. It starts with the first late read.
-func (d *Dispatcher) setWindow(h *host, x float64) {
+// setWindow bounds what is out at once by how long it takes: own launches at a reader, and pulls from it to other
+// cells. A queue at a reader makes sessions come back later than their text is kept, which makes more to read; a
+// queue on a link delays every pull. A window opens with the first late answer, of share x of the expected time.
+func setWindow(window *float64, out int32, x float64) {
 	if x > lateRead {
-		if h.window == 0 {
-			h.window = float64(h.out + 1)
+		if *window == 0 {
+			*window = float64(out + 1)
 		}
-		h.window = max(roomCut*h.window, 1)
-	} else if h.window > 0 {
-		h.window += 1 / h.window
+		*window = max(roomCut**window, 1)
+	} else if *window > 0 {
+		*window += 1 / *window
 	}
 }
 
@@ -396,6 +397,9 @@
 	if h.role != Reader {
 		h.streams++
 	}
+	if j.phase == toWrite && d.hosts[j.reader].cell != h.cell {
+		d.hosts[j.reader].pulling++
+	}
 	if j.phase == toRead {
 		j.unsplit = h.role != Reader
 		j.tokens = j.Prompt - d.expectHeld(now, j, to)
@@ -620,12 +624,18 @@
 // pickWriter: the fewest own streams; within one of the fewest the reader's cell, then its zone. While far links
 // crawl, nearness holds like a reader's affinity: until a near writer has twice the fewest.
 func (d *Dispatcher) pickWriter(now Nanos, j *job, pass int) int32 {
-	fewest := d.fewestStreams(now, j, pass)
+	from := &d.hosts[j.reader]
+	shut := from.pullWindow > 0 && float64(from.pulling) >= from.pullWindow
+	fewest := int32(1 << 30)
+	for i := range d.hosts {
+		if h := &d.hosts[i]; h.role != Reader && !(shut && h.cell != from.cell) && d.fit(now, j, int32(i), pass) {
+			fewest = min(fewest, h.streams)
+		}
+	}
 	bound := fewest + nearStreams
 	if d.farSlow(now) {
 		bound *= gateFactor
 	}
-	from := &d.hosts[j.reader]
 	return d.least(func(i int32, h *host) (rank, bool) {
 		far := int64(2)
 		if h.cell == from.cell {
@@ -634,6 +644,6 @@
 			far = 1
 		}
 		r := rank{far, int64(h.streams), int64(h.load.Memory * 100)}
-		return r, h.role != Reader && h.streams <= bound && d.fit(now, j, i, pass)
+		return r, h.role != Reader && !(shut && far > 0) && h.streams <= bound && d.fit(now, j, i, pass)
 	})
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -114,35 +114,37 @@
 }
 
 type host struct {
-	id       HostID
-	zone     ZoneID
-	cell     CellID
-	role     Role
-	health   Health
-	launched Nanos   // last known start; 0 = long ago
-	queued   int64   // own prompt tokens sent there and not yet read
-	out      int32   // own launches there that have not answered
-	streams  int32   // own jobs there as a writer, begun or not
-	moved    Nanos   // last answer, or first launch since it stood idle
-	longest  Nanos   // longest allowance for prompt length among the launches out
-	begun    int32   // of the streams, those that have begun
-	answers  ring    // first answers, as shares of the job's expected time
-	high     float64 // high quantile of them
-	last     float64 // the last of them
-	busy     float64 // stream time of late
-	done     float64 // work of the streams that ended of late
-	since    Nanos   // both count from then
-	doubt    float64 // share of recent launches that failed
-	aside    Nanos   // set aside until then
-	spell    Nanos   // length of the last spell aside
-	trial    bool    // back from aside, not yet proven
-	downed   bool    // has not answered since it could not be reached
-	fullTill Nanos
-	window   float64 // most own launches out at a reader; 0 = no bound
-	load     Load
-	loadAt   Nanos
-	sent     flow // own launches to it
-	carried  flow // of those, the ones it answered
+	id         HostID
+	zone       ZoneID
+	cell       CellID
+	role       Role
+	health     Health
+	launched   Nanos   // last known start; 0 = long ago
+	queued     int64   // own prompt tokens sent there and not yet read
+	out        int32   // own launches there that have not answered
+	streams    int32   // own jobs there as a writer, begun or not
+	moved      Nanos   // last answer, or first launch since it stood idle
+	longest    Nanos   // longest allowance for prompt length among the launches out
+	begun      int32   // of the streams, those that have begun
+	answers    ring    // first answers, as shares of the job's expected time
+	high       float64 // high quantile of them
+	last       float64 // the last of them
+	busy       float64 // stream time of late
+	done       float64 // work of the streams that ended of late
+	since      Nanos   // both count from then
+	doubt      float64 // share of recent launches that failed
+	aside      Nanos   // set aside until then
+	spell      Nanos   // length of the last spell aside
+	trial      bool    // back from aside, not yet proven
+	downed     bool    // has not answered since it could not be reached
+	fullTill   Nanos
+	window     float64 // most own launches out at a reader; 0 = no bound
+	pulling    int32   // own pulls from this reader to other cells that are under way
+	pullWindow float64 // most of them; 0 = no bound
+	load       Load
+	loadAt     Nanos
+	sent       flow // own launches to it
+	carried    flow // of those, the ones it answered
 }
 
 // restarted forgets what no longer holds once a host's process is another.
--- a/policy/told.go
+++ b/policy/told.go
@@ -117,12 +117,18 @@
 		h.longest = 0
 	}
 	x := float64(elapsed) / float64(j.expected)
-	if j.phase == toWrite && (good || j.withdrew) { // a pull withdrawn took at least so long
-		far := 1
-		if d.hosts[j.reader].cell == h.cell {
-			far = 0
+	if j.phase == toWrite {
+		from, far := &d.hosts[j.reader], 0
+		if from.cell != h.cell {
+			far = 1
+			from.pulling--
+		}
+		if good || j.withdrew { // a pull withdrawn took at least so long
+			d.pulls[far].add(now, x)
+			if far == 1 {
+				setWindow(&from.pullWindow, from.pulling, x)
+			}
 		}
-		d.pulls[far].add(now, x)
 	}
 	if !good {
 		return
@@ -130,7 +136,7 @@
 	h.last = x
 	h.carried.add(now, d.cold.Window)
 	if h.role == Reader {
-		d.setWindow(h, x)
+		setWindow(&h.window, h.out, x)
 	}
 	switch {
 	case d.crawls(now, j):
