Tenants beyond their share find less room under pressure; jobs without any reader; scenarios for each guard

Under pressure three quarters of the room is open to tenants beyond their share. Each guard was taken out in turn: its scenario fails.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,7 @@
 	poorAnswer   = 1.0 / 2  // of the expected time for one stage of two: what takes longer has waited too long
 	lateRead     = 1.0 / 4  // of the expected time: a read that takes longer has waited in a queue
 	poorShare    = 1.0 / 4  // of the answers: more than one sick host in a pool makes, so the pool itself is full
+	beyondShare  = 3.0 / 4  // of the room is open to tenants beyond their share
 	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
 	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
 	waitShare    = 1.0 / 4  // of the expected time a new job may wait for room: the rest is needed for the work
@@ -141,6 +142,15 @@
 	d.holds.sweep(now)
 }
 
+// roomFor is the room as a job sees it: what its tenant asks beyond its share waits before the room is full, so that
+// a tenant within its share finds some left. Without pressure nobody is held to a share.
+func (d *Dispatcher) roomFor(j *job) float64 {
+	if j.beyond {
+		return beyondShare * d.room
+	}
+	return d.room
+}
+
 // setWindow bounds what is out at once by how long it takes: own launches at a reader, and pulls from it to other
 // cells. A queue at a reader makes sessions come back later than their text is kept, which makes more to read; a
 // queue on a link delays every pull. A window opens with the first late answer, of share x of the expected time.
@@ -294,7 +304,7 @@
 		return d.letGo(j)
 	case j.doomed, now+d.answering.Round >= j.Deadline, j.launches >= d.launching.Most, !d.mayLaunch(now, j):
 		return d.giveUp(now, j)
-	case j.launches == 0 && float64(d.active) >= d.room:
+	case j.launches == 0 && float64(d.active) >= d.roomFor(j):
 		if now >= j.born+Nanos(waitShare*float64(j.expected)) {
 			return d.giveUp(now, j)
 		}
@@ -308,6 +318,9 @@
 		} else if to = d.pickMixed(now, j, pass); to == noHost {
 			to = d.pickReader(now, j, pass)
 		}
+		if to == noHost && j.phase == toRead {
+			to = d.pickWithout(now, j, pass)
+		}
 	}
 	if to == noHost {
 		if d.hopeless(now, j) {
@@ -567,6 +580,20 @@
 	return lowest
 }
 
+// pickWithout places a job while there is no reader at all: at a mixed host whatever its length, or at a writer where
+// those read. It guards against a pool of readers that is lost whole.
+func (d *Dispatcher) pickWithout(now Nanos, j *job, pass int) int32 {
+	for i := range d.hosts {
+		if h := &d.hosts[i]; h.role == Reader && h.health == Serving && now >= h.aside {
+			return noHost
+		}
+	}
+	return d.least(func(i int32, h *host) (rank, bool) {
+		reads := h.role == Mixed || h.role == Writer && d.launching.ReadAtPens
+		return rank{int64(h.streams)}, reads && d.fit(now, j, i, pass)
+	})
+}
+
 // backlog is the design's load signal of a reader: own unread prompts, plus what the host reported of late.
 func (d *Dispatcher) backlog(now Nanos, h *host) int64 {
 	if h.load.Unread > 0 && now-h.loadAt < d.tracks[0].Expected {
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -17,9 +17,9 @@
 //	full                               the hosts that follow are all there are
 //	restored-failed                    the list could not be had
 //	at T                               time goes on; wakes that fall due on the way are delivered
-//	job ID [prompt=N shared=N prefix=K session=K patience=T]
+//	job ID [prompt=N shared=N prefix=K session=K patience=T tenant=N]
 //	began ID | ended ID OUTCOME [after=T] [over] | left ID
-//	expect VERB [ID] [on HOST[|HOST]]  the next decision, wakes and log lines left out
+//	expect VERB [ID] [on HOST[|HOST]] [for T]  the next decision, wakes and log lines left out
 //	nothing                            no decision is left
 //	log TEXT                           a log line with TEXT was given
 //	loop A B ... end                   the lines between, with $ standing for A to B
@@ -140,7 +140,7 @@
 		p.start()
 	}
 	opts := map[string]int{"zone": 0, "cell": 0, "launched": 0, "prompt": 500, "shared": 0, "prefix": 0, "session": 0,
-		"patience": p.set["patience"], "after": 50, "health": 0}
+		"patience": p.set["patience"], "tenant": -1, "after": 50, "health": 0}
 	for _, o := range w {
 		if k, v, ok := strings.Cut(o, "="); ok {
 			if _, known := opts[k]; !known {
@@ -183,7 +183,7 @@
 		p.now = Nanos(id) * ms
 	case "job":
 		p.settle()
-		p.d.JobArrived(p.now, Job{ID: JobID(id), Tenant: -1, Session: SessionKey(opts["session"]),
+		p.d.JobArrived(p.now, Job{ID: JobID(id), Tenant: TenantID(opts["tenant"]), Session: SessionKey(opts["session"]),
 			Prefix: PrefixKey(opts["prefix"]), Prompt: int64(opts["prompt"]), Shared: int64(opts["shared"]), Cap: 200,
 			Deadline: p.now + Nanos(opts["patience"])*ms})
 	case "began":
@@ -223,7 +223,9 @@
 	name := map[Verb]string{Launch: "launch", Recall: "recall", Nack: "nack", Abandon: "abandon", LetGo: "letgo",
 		Watch: "watch"}[got.Verb]
 	ok := name == w[0] && (len(w) < 2 || fmt.Sprint(got.Job) == w[1])
-	if ok && len(w) > 3 {
+	if ok && len(w) > 3 && w[2] == "for" {
+		ok = fmt.Sprint(int64(got.For/ms)) == w[3]
+	} else if ok && len(w) > 3 {
 		ok = false
 		for _, h := range strings.Split(w[3], "|") {
 			ok = ok || fmt.Sprint(got.Host) == h
--- a/policy/state.go
+++ b/policy/state.go
@@ -27,6 +27,7 @@
 	unsplit  bool // its launch both reads and answers
 	mayRun   bool // some launch may have run
 	doomed   bool // given up; what is held goes first
+	beyond   bool // its tenant was beyond its share when it came
 	launches int32
 	at       int32 // host of the launch that is out
 	reader   int32 // host that holds the state
@@ -305,6 +306,7 @@
 
 	rng      chance
 	jobs     slab
+	shares   []bucket // of the tenants
 	hosts    []host
 	byID     map[HostID]int32
 	holds    beginnings
@@ -345,3 +347,20 @@
 	slices.Sort(xs)
 	return xs[len(xs)/2]
 }
+
+// bucket tells whether a tenant asks for more than its share: it fills at the share's rate, to one second's worth.
+type bucket struct {
+	level float64
+	at    Nanos
+}
+
+// take tells whether one more is beyond the share.
+func (b *bucket) take(now Nanos, perSecond float64) bool {
+	b.level = min(b.level+float64(now-b.at)/1e9*perSecond, max(perSecond, 1))
+	b.at = now
+	if b.level < 1 {
+		return true
+	}
+	b.level--
+	return false
+}
--- a/policy/told.go
+++ b/policy/told.go
@@ -30,7 +30,7 @@
 		shortest = min(shortest, t.Expected)
 	}
 	d := &Dispatcher{place: place, tracks: tracks, tenants: tenants, roles: roles, cold: cold, launching: launching,
-		answering: answering, listing: listing, release: release, rng: chance{seed}, jobs: newSlab(),
+		answering: answering, listing: listing, release: release, rng: chance{seed}, jobs: newSlab(), shares: make([]bucket, len(tenants)),
 		byID: make(map[HostID]int32), holds: newBeginnings(), room: math.MaxInt32,
 		wakeAt: Never, lookAt: Never}
 	d.rng.below(1)
@@ -76,6 +76,9 @@
 	j, t := &d.jobs.jobs[slot], &d.tracks[given.Track]
 	j.born = now
 	j.expected = t.Expected + t.ExpectedPer1k*Nanos(j.Prompt)/1000
+	if given.Tenant >= 0 {
+		j.beyond = d.shares[given.Tenant].take(now, d.tenants[given.Tenant].PerSecond/float64(d.place.Count))
+	}
 	d.jobs.enqueue(slot)
 }
 
