--- a/policy/policy.go
+++ b/policy/policy.go
@@ -118,12 +118,14 @@
 		h.busy = h.busy*keep + float64(h.begun)*float64(now-d.lookedAt)
 		h.done *= keep
 		h.high = h.answers.quantile(now-8*d.tracks[0].Expected, highQuantile)
+		h.mid = h.answers.quantile(now-8*d.tracks[0].Expected, 0.5)
 	}
 	d.lookedAt = now
 	for role := Reader; role < roleCount; role++ {
 		if x := d.median(role, func(h *host) float64 { return h.high }); x > 0 {
 			d.usual[role] = x
 		}
+		d.typical[role] = d.median(role, func(h *host) float64 { return h.mid })
 		d.pace[role] = d.median(role, func(h *host) float64 { return h.busy / max(h.done, 1) })
 	}
 	for i := range d.hosts {
@@ -304,6 +306,8 @@
 		return d.letGo(j)
 	case j.doomed, now+d.answering.Round >= j.Deadline, j.launches >= d.launching.Most, !d.mayLaunch(now, j):
 		return d.giveUp(now, j)
+	case j.phase == toRead && d.tooShort(now, j):
+		return d.giveUp(now, j)
 	case j.launches == 0 && float64(d.active) >= d.roomFor(j):
 		if now >= j.born+Nanos(waitShare*float64(j.expected)) {
 			return d.giveUp(now, j)
@@ -380,6 +384,13 @@
 	return now >= j.born+j.expected/2 // half is needed for the work itself
 }
 
+// tooShort tells that a client will be gone before hosts as quick as usual could begin to answer it. It guards against
+// clients with hardly any patience, who come back at once and by the dozen: what is begun for them is wasted.
+func (d *Dispatcher) tooShort(now Nanos, j *job) bool {
+	usual := (d.typical[Reader] + d.typical[Writer]) * float64(j.expected)
+	return j.Deadline-now < Nanos(usual)
+}
+
 // giveUp ends a job: first whatever is held goes, then the client is told; a nack wherever it tells the truth.
 func (d *Dispatcher) giveUp(now Nanos, j *job) (Decision, bool) {
 	j.doomed = true
--- a/policy/state.go
+++ b/policy/state.go
@@ -129,6 +129,7 @@
 	begun      int32   // of the streams, those that have begun
 	answers    ring    // first answers, as shares of the job's expected time
 	high       float64 // high quantile of them
+	mid        float64 // and their median
 	last       float64 // the last of them
 	busy       float64 // stream time of late
 	done       float64 // work of the streams that ended of late
@@ -311,6 +312,7 @@
 	byID     map[HostID]int32
 	holds    beginnings
 	usual    [roleCount]float64 // median over hosts of their high answer times, as shares of the expected time
+	typical  [roleCount]float64 // median over hosts of their median answer times
 	pace     [roleCount]float64 // median over hosts of their stream time for a unit of work
 	lasts    Nanos              // usual length of a stream
 	ended    int64              // streams seen to their end
