--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,7 +31,7 @@
 	beyondShare  = 3.0 / 4  // of the room is open to tenants beyond their share
 	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
 	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
-	waitShare    = 1.0 / 4  // of the expected time a new job may wait for room: the rest is needed for the work
+	waitShare    = 1.0 / 8  // of the expected time a new job may wait for room: the rest is needed for the work
 	coldMargin   = 0.5      // of what topples a cold host: the rest is for the dispatchers that can't be seen
 	holdMargin   = 0.6      // of the time for letting go that a held state may wait
 	lookParts    = 16       // of the shortest time that decisions wait for, between two looks at all that is in hand
@@ -566,13 +566,13 @@
 // guards against pools that shrink and against readers taken up by work that this dispatcher can't see.
 func (d *Dispatcher) pressed(now Nanos, j *job, pass int) bool {
 	t := &d.tracks[j.Track]
-	wait := Nanos(waitShare * float64(t.Expected))
+	wait := Nanos(lateRead * float64(t.Expected))
 	for i := range d.hosts {
 		h := &d.hosts[i]
 		if h.role != Reader || h.trial || !d.fit(now, j, int32(i), pass) {
 			continue
 		}
-		late := h.out > 0 && (h.last > waitShare || now-h.moved > wait)
+		late := h.out > 0 && (h.last > lateRead || now-h.moved > wait)
 		if !late && Nanos(d.backlog(now, h))*t.ExpectedPer1k/1000 < wait {
 			return false
 		}
