--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,10 @@
 package policy
 
-// Every decision of docksail is in this file; its interface is types.go, and told.go takes down what needs no
-// judgement. To call it: New once for each dispatcher, then, as things happen, the methods that tell it (ListBegin,
-// HostListed, ListEnd, ListFailed, JobArrived, StreamBegan, LaunchEnded, ClientLeft, Woken). They only update what
-// is known. After them call Next until it has no further decision. The module reads no clock of its own.
+// Every decision of docksail is in this file; its interface is types.go, and told.go takes down what
+// needs no judgement. To call it: New once for each dispatcher, then, as things happen, the methods that
+// tell it (ListBegin, HostListed, ListEnd, ListFailed, JobArrived, StreamBegan, LaunchEnded, ClientLeft,
+// Woken). They only update what is known. After them call Next until it has no further decision. The
+// module reads no clock of its own.
 
 import (
 	"fmt"
@@ -11,30 +12,30 @@
 )
 
 const (
-	gateFactor  = 2        // affinity yields once its holder has this multiple of the shortest queue (design page)
+	gateFactor  = 2        // affinity yields at this multiple of shortest queue and prompt (design page)
 	keepMarks   = 30 * 1e9 // a beginning is believed held so long after its last use (design page)
 	shortPrompt = 2000     // unshared prompt tokens under which a mixed host reads by itself (design page)
-	nearStreams = 1        // writers within so many streams of the fewest are chosen by nearness (design page)
+	nearStreams = 1        // within so many streams of the fewest, nearness chooses (design page)
 
 	highQuantile = 0.9      // answer times are judged by this quantile: one slow job in ten is no verdict
 	slowAgainst  = 3.0      // times its fellows' median: uneven load makes 2, sickness 4 and more
 	slowHarms    = 1.0 / 3  // of the expected time: answers faster than that harm nobody, whatever fellows do
-	paceAgainst  = 2.5      // times its fellows' stream time for the same work; lengths vary by less over a few streams
+	paceAgainst  = 2.5      // times the stream time of its fellows for the same work: chance makes less
 	stallAgainst = 2.0      // silence of so many high answer times is no chance
 	stallFloor   = 1.0 / 4  // of the expected time, taken as the high answer time while hosts are quicker
 	failKeep     = 0.8      // weight of the past in a host's share of failures
 	failLimit    = 0.3      // two failures in a row from clean, or one launch in three
-	mostAside    = 3        // one host in so many of a role may be set aside for being slow: the rest must bear its load
-	poorAnswer   = 1.0 / 2  // of the expected time for one stage of two: what takes longer has waited too long
+	mostAside    = 3        // one host in so many may be set aside for slowness or failures
+	poorAnswer   = 1.0 / 2  // of the expected time, for one stage of two: a longer answer has waited too long
 	lateRead     = 1.0 / 4  // of the expected time: a read that takes longer has waited in a queue
-	poorShare    = 1.0 / 4  // of the answers: more than one sick host in a pool makes, so the pool itself is full
+	poorShare    = 1.0 / 4  // of the answers: one sick host makes fewer, so it is the pool that is full
 	beyondShare  = 3.0 / 4  // of the room is open to tenants beyond their share
 	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
 	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
-	waitShare    = 1.0 / 8  // of the expected time a new job may wait for room: the rest is needed for the work
+	waitShare    = 1.0 / 8  // of the expected time a new job may wait: the work needs the rest
 	coldMargin   = 0.5      // of what topples a cold host: the rest is for the dispatchers that can't be seen
 	holdMargin   = 0.6      // of the time for letting go that a held state may wait
-	lookParts    = 16       // of the shortest time that decisions wait for, between two looks at all that is in hand
+	lookParts    = 16       // of the shortest time that decisions wait for, between two looks at everything
 )
 
 // ---- What is told, where judgement goes in.
@@ -46,7 +47,8 @@
 }
 
 // LaunchEnded tells how a launch ended; over, that the job is finally answered.
-func (d *Dispatcher) LaunchEnded(now Nanos, id JobID, shot Shot, how Outcome, elapsed Nanos, over bool, load Load) {
+func (d *Dispatcher) LaunchEnded(now Nanos, id JobID, shot Shot, how Outcome,
+	elapsed Nanos, over bool, load Load) {
 	slot, j := d.jobs.find(id)
 	if j == nil || !j.out || shot != Shot(j.launches-1) {
 		return
@@ -135,8 +137,8 @@
 		}
 		if h.high > slowHarms && h.high > slowAgainst*d.usual[h.role] {
 			d.setAside(now, h, "slow to answer", true)
-		} else if d.ended > 32 && h.busy > 8*float64(d.lasts) && now > h.since+2*d.lasts && d.pace[h.role] > 0 &&
-			h.busy > paceAgainst*d.pace[h.role]*h.done {
+		} else if d.ended > 32 && h.busy > 8*float64(d.lasts) && now > h.since+2*d.lasts &&
+			d.pace[h.role] > 0 && h.busy > paceAgainst*d.pace[h.role]*h.done {
 			d.setAside(now, h, "slow streams", true)
 		}
 	}
@@ -144,8 +146,8 @@
 	d.holds.sweep(now)
 }
 
-// roomFor is the room as a job sees it: what its tenant asks beyond its share waits before the room is full, so that
-// a tenant within its share finds some left. Without pressure nobody is held to a share.
+// roomFor is the room as a job sees it: what its tenant asks beyond its share waits before the room is
+// full, so that a tenant within its share finds some left. Without pressure nobody is held to a share.
 func (d *Dispatcher) roomFor(j *job) float64 {
 	if j.beyond {
 		return beyondShare * d.room
@@ -153,9 +155,10 @@
 	return d.room
 }
 
-// setWindow bounds what is out at once by how long it takes: own launches at a reader, and pulls from it to other
-// cells. A queue at a reader makes sessions come back later than their text is kept, which makes more to read; a
-// queue on a link delays every pull. A window opens with the first late answer, of share x of the expected time.
+// setWindow bounds what is out at once by how long it takes: own launches at a reader, and pulls from it
+// to other cells. A queue at a reader makes sessions come back later than their text is kept, which makes
+// more to read; a queue on a link delays every pull. A window opens with the first late answer, of share
+// x of the expected time.
 func setWindow(window *float64, out int32, x float64) {
 	if x > lateRead {
 		if *window == 0 {
@@ -167,9 +170,9 @@
 	}
 }
 
-// setRoom finds how many jobs in hand the pools bear, from how their answers come: cut when many are late or turned
-// away, else let grow. It guards against load beyond capacity, whatever made the one grow or the other shrink. It
-// may do harm when answers are late for a reason that fewer jobs don't cure.
+// setRoom finds how many jobs in hand the pools bear, from how their answers come: cut when many are late
+// or turned away, else let grow. It guards against load beyond capacity, whatever made the one grow or
+// the other shrink. It may do harm when answers are late for a reason that fewer jobs don't cure.
 func (d *Dispatcher) setRoom(now Nanos) {
 	if now < d.roomAt {
 		return
@@ -182,8 +185,24 @@
 	d.good, d.poor, d.roomAt = 0, 0, now+d.tracks[0].Expected/2
 }
 
-// judge keeps a host's share of failures. It guards against hosts that fail fast, hang, or are gone before the list
-// says so. A turned-away job is no failure: the host is full and says so.
+// weigh takes a first answer, of share x of its job's expected time, as a sign of the load and of its host.
+func (d *Dispatcher) weigh(now Nanos, j *job, h *host, x float64) {
+	if h.role == Reader {
+		setWindow(&h.window, h.out, x)
+	}
+	if d.crawls(now, j) {
+		return
+	}
+	h.answers.add(now, x)
+	if x > poorAnswer {
+		d.poor++
+	} else {
+		d.good++
+	}
+}
+
+// judge keeps a host's share of failures. It guards against hosts that fail fast, hang, or are gone
+// before the list says so. A turned-away job is no failure: the host is full and says so.
 func (d *Dispatcher) judge(now Nanos, h *host, j *job, how Outcome) {
 	bad, why := 0.0, "failing"
 	switch how {
@@ -217,8 +236,9 @@
 	}
 }
 
-// setAside keeps new jobs from a host for a spell; then one job at a time tries it. A spell that follows soon on the
-// last one is twice as long, up to the time in which a host warms up, so that a long trouble costs few trials.
+// setAside keeps new jobs from a host for a spell; then one job at a time tries it. A spell that follows
+// soon on the last one is twice as long, up to the time in which a host warms up, so that a long trouble
+// costs few trials.
 func (d *Dispatcher) setAside(now Nanos, h *host, why string, sparing bool) {
 	if sparing {
 		aside, all := 1, 0
@@ -384,14 +404,16 @@
 	return now >= j.born+j.expected/2 // half is needed for the work itself
 }
 
-// tooShort tells that a client will be gone before hosts as quick as usual could begin to answer it. It guards against
-// clients with hardly any patience, who come back at once and by the dozen: what is begun for them is wasted.
+// tooShort tells that a client will be gone before hosts as quick as usual could begin to answer it. It
+// guards against clients with hardly any patience, who come back at once and by the dozen: what is begun
+// for them is wasted.
 func (d *Dispatcher) tooShort(now Nanos, j *job) bool {
 	usual := (d.typical[Reader] + d.typical[Writer]) * float64(j.expected)
 	return j.Deadline-now < Nanos(usual)
 }
 
-// giveUp ends a job: first whatever is held goes, then the client is told; a nack wherever it tells the truth.
+// giveUp ends a job: first whatever is held goes, then the client is told; a nack wherever it tells the
+// truth.
 func (d *Dispatcher) giveUp(now Nanos, j *job) (Decision, bool) {
 	j.doomed = true
 	if j.held && !j.out {
@@ -400,7 +422,8 @@
 	t := &d.tracks[j.Track]
 	j.over = true
 	unsafe := j.mayRun || j.out && d.hosts[j.at].role != Reader
-	if unsafe && t.Effect != Redoable && (t.Effect == Irreversible || t.Group != GroupAll) || now >= j.Deadline {
+	unsafe = unsafe && (t.Effect == Irreversible || t.Effect == Labelled && t.Group != GroupAll)
+	if unsafe || now >= j.Deadline {
 		return Decision{Verb: Abandon, Job: j.ID}, true
 	}
 	advice := Nanos(0)
@@ -442,8 +465,8 @@
 	return Decision{Verb: Launch, Job: j.ID, Host: h.id, For: d.timeOut(now, j, h.role)}
 }
 
-// timeOut bounds a launch. Where launches can be recalled, silence ends them and the time-out only keeps the last
-// quarter for another; else several usual answer times, at most half of what is left.
+// timeOut bounds a launch. Where launches can be recalled, silence ends them and the time-out only keeps
+// the last quarter for another; else several usual answer times, at most half of what is left.
 func (d *Dispatcher) timeOut(now Nanos, j *job, role Role) Nanos {
 	left := j.Deadline - now
 	if d.launching.Recall {
@@ -465,8 +488,8 @@
 	return min(kept, j.Prompt)
 }
 
-// fit tells whether a host may and should be sent a job now. Later passes, when nothing else is left, lift what is
-// only advice: first the hosts that this job has failed at, then trials and silence.
+// fit tells whether a host may and should be sent a job now. Later passes, when nothing else is left,
+// lift what is only advice: first the hosts that this job has failed at, then trials and silence.
 func (d *Dispatcher) fit(now Nanos, j *job, i int32, pass int) bool {
 	h := &d.hosts[i]
 	switch {
@@ -480,9 +503,10 @@
 	return pass > 0 || !j.shuns(i)
 }
 
-// stalled tells that a host has launches out and has not answered one for far longer than its role takes: hung,
-// cut off, or gone with the list still silent. Its first answer lifts it. A long prompt may take twice the time
-// that the clients allow for it: to call its reader hung would send it on to spoil the next one.
+// stalled tells that a host has launches out and has not answered one for far longer than its role takes:
+// hung, cut off, or gone with the list still silent. Its first answer lifts it. A long prompt may take
+// twice the time that the clients allow for it: to call its reader hung would send it on to spoil the
+// next one.
 func (d *Dispatcher) stalled(now Nanos, h *host) bool {
 	usual := stallAgainst * max(d.usual[h.role], stallFloor) * float64(d.tracks[0].Expected)
 	return h.out > 0 && now-h.moved > Nanos(usual)+2*h.longest
@@ -492,8 +516,9 @@
 	return d.cold.Window > 0 && h.launched > 0 && now < h.launched+d.cold.Warm
 }
 
-// coldRoom keeps rule four alone: a host that has just started gets a share of what its warm fellows carry from
-// here, so that all dispatchers together stay under what topples it, and at least one launch in a window.
+// coldRoom keeps rule four alone: a host that has just started gets a share of what its warm fellows
+// carry from here, so that all dispatchers together stay under what topples it, and at least one launch
+// in a window.
 func (d *Dispatcher) coldRoom(now Nanos, h *host) bool {
 	if !d.isCold(now, h) {
 		return true
@@ -535,8 +560,8 @@
 	return best
 }
 
-// pickMixed is the design's rule for short prompts: the mixed host with fewest own streams reads them itself. It
-// also serves where no reader is left on the list.
+// pickMixed is the design's rule for short prompts: the mixed host with fewest own streams reads them
+// itself. It also serves where no reader is left on the list.
 func (d *Dispatcher) pickMixed(now Nanos, j *job, pass int) int32 {
 	bound, pressed := d.fewestStreams(now, j, pass)+nearStreams, d.pressed(now, j, pass)
 	seed := pressed
@@ -557,13 +582,15 @@
 			kept = max(kept, j.Shared)
 		}
 		short := j.Prompt-kept < shortPrompt
-		return rank{int64(h.streams)}, h.role == Mixed && short && h.streams <= bound && (pressed || h.high <= slowHarms) && d.fit(now, j, i, pass)
+		willing := h.role == Mixed && h.streams <= bound && (pressed || h.high <= slowHarms)
+		return rank{int64(h.streams)}, short && willing && d.fit(now, j, i, pass)
 	})
 }
 
-// pressed tells that no reader is likely to read this job in good time: each is on trial, has more tokens in wait
-// than clients allow time for (by their own allowance for prompt length), or has kept launches waiting of late. It
-// guards against pools that shrink and against readers taken up by work that this dispatcher can't see.
+// pressed tells that no reader is likely to read this job in good time: each is on trial, has more tokens
+// in wait than clients allow time for (by their own allowance for prompt length), or has kept launches
+// waiting of late. It guards against pools that shrink and against readers taken up by work that this
+// dispatcher can't see.
 func (d *Dispatcher) pressed(now Nanos, j *job, pass int) bool {
 	t := &d.tracks[j.Track]
 	wait := Nanos(lateRead * float64(t.Expected))
@@ -591,8 +618,8 @@
 	return lowest
 }
 
-// pickWithout places a job while there is no reader at all: at a mixed host whatever its length, or at a writer where
-// those read. It guards against a pool of readers that is lost whole.
+// pickWithout places a job while there is no reader at all: at a mixed host whatever its length, or at a
+// writer where those read. It guards against a pool of readers that is lost whole.
 func (d *Dispatcher) pickWithout(now Nanos, j *job, pass int) int32 {
 	for i := range d.hosts {
 		if h := &d.hosts[i]; h.role == Reader && h.health == Serving && now >= h.aside {
@@ -613,9 +640,10 @@
 	return h.queued
 }
 
-// pickReader: among readers that hold the job's beginning and are not overloaded, the fewest queued prompt tokens,
-// this prompt's own unheld ones counted in. A reader that has read this session before shares the longest beginning
-// and goes first: sessions that roam are read anew each time, and what they leave drives out what others need.
+// pickReader: among readers that hold the job's beginning and are not overloaded, the fewest queued
+// prompt tokens, this prompt's own unheld ones counted in. A reader that has read this session before
+// shares the longest beginning and goes first: sessions that roam are read anew each time, and what they
+// leave drives out what others need.
 func (d *Dispatcher) pickReader(now Nanos, j *job, pass int) int32 {
 	lowest := d.shortest(now, j, pass)
 	return d.least(func(i int32, h *host) (rank, bool) {
@@ -645,28 +673,29 @@
 	return fewest
 }
 
-// farSlow tells that pulls from other cells take far longer than those within one, and long enough to matter: the
-// links crawl. It lapses as soon as a few quick ones are seen, or none for some time.
+// farSlow tells that pulls from other cells take far longer than those within one, and long enough to
+// matter: the links crawl. It lapses as soon as a few quick ones are seen, or none for some time.
 func (d *Dispatcher) farSlow(now Nanos) bool {
 	since := now - 4*d.tracks[0].Expected
 	far := d.pulls[1].quantile(since, 0.5)
 	return far > slowHarms/2 && far > gateFactor*d.pulls[0].quantile(since, 0.5)
 }
 
-// crawls tells that the launch that is out pulls its state over links that crawl: neither its writer nor the load
-// is to blame for its time.
+// crawls tells that the launch that is out pulls its state over links that crawl: neither its writer nor
+// the load is to blame for its time.
 func (d *Dispatcher) crawls(now Nanos, j *job) bool {
 	return j.phase == toWrite && d.hosts[j.reader].cell != d.hosts[j.at].cell && d.farSlow(now)
 }
 
-// pickWriter: the fewest own streams; within one of the fewest the reader's cell, then its zone. While far links
-// crawl, nearness holds like a reader's affinity: until a near writer has twice the fewest.
+// pickWriter: the fewest own streams; within one of the fewest the reader's cell, then its zone. While
+// far links crawl, nearness holds like a reader's affinity: until a near writer has twice the fewest.
 func (d *Dispatcher) pickWriter(now Nanos, j *job, pass int) int32 {
 	from := &d.hosts[j.reader]
 	shut := from.pullWindow > 0 && float64(from.pulling) >= from.pullWindow
 	fewest := int32(1 << 30)
 	for i := range d.hosts {
-		if h := &d.hosts[i]; h.role != Reader && !(shut && h.cell != from.cell) && d.fit(now, j, int32(i), pass) {
+		h := &d.hosts[i]
+		if h.role != Reader && !(shut && h.cell != from.cell) && d.fit(now, j, int32(i), pass) {
 			fewest = min(fewest, h.streams)
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -293,43 +293,69 @@
 	return int32(uint64(x) * uint64(n) >> 32)
 }
 
-// Dispatcher decides for one dispatcher. It shares nothing with others.
+// Dispatcher decides for one dispatcher. It shares nothing with others. Each of its parts keeps the few
+// settings that it works by.
 type Dispatcher struct {
-	place     Place
+	intake
+	pool
+	guards
+	pressure
+	clockwork
+
+	rng     chance
+	says    []string // lines for the log
+	scratch []float64
+}
+
+// intake is the jobs in hand and what is owed for them.
+type intake struct {
 	tracks    []Track
 	tenants   []Tenant
-	roles     []Role
+	answering Answering
+	jobs      slab
+	shares    []bucket // of the tenants
+}
+
+// pool is the hosts, what they hold and how they do.
+type pool struct {
+	place   Place
+	roles   []Role
+	hosts   []host
+	byID    map[HostID]int32
+	holds   beginnings
+	usual   [roleCount]float64 // median over hosts of their high answer times, as shares of the expected time
+	typical [roleCount]float64 // median over hosts of their median answer times
+	pace    [roleCount]float64 // median over hosts of their stream time for a unit of work
+	lasts   Nanos              // usual length of a stream
+	ended   int64              // streams seen to their end
+	pulls   [2]ring            // first answers of writers, as shares of expected: near, far
+}
+
+// guards is what bounds launches and what is held.
+type guards struct {
 	cold      ColdStart
 	launching Launching
-	answering Answering
-	listing   Listing
 	release   Nanos
+}
+
+// pressure is how much is in hand and how much the pools bear.
+type pressure struct {
+	active int32 // jobs launched and not over
+	room   float64
+	good   int32 // answers since the room was last set ...
+	poor   int32 // ... and those that came late or were turned away
+	roomAt Nanos
+}
 
-	rng      chance
-	jobs     slab
-	shares   []bucket // of the tenants
-	hosts    []host
-	byID     map[HostID]int32
-	holds    beginnings
-	usual    [roleCount]float64 // median over hosts of their high answer times, as shares of the expected time
-	typical  [roleCount]float64 // median over hosts of their median answer times
-	pace     [roleCount]float64 // median over hosts of their stream time for a unit of work
-	lasts    Nanos              // usual length of a stream
-	ended    int64              // streams seen to their end
-	step     Nanos              // longest time between two looks at everything in hand
+// clockwork is when to look again, and at what.
+type clockwork struct {
+	listing  Listing
+	step     Nanos // longest time between two looks at everything in hand
 	lookedAt Nanos
 	lookAt   Nanos // next look at everything in hand
 	wakeAt   Nanos // the Wake that is out; Never = none
 	watching bool
 	watchAt  Nanos
-	active   int32   // jobs launched and not over
-	room     float64 // how many of them the pools bear
-	good     int32   // answers since the room was last set ...
-	poor     int32   // ... and those that came late or were turned away
-	roomAt   Nanos
-	pulls    [2]ring  // first answers of writers, as shares of expected: same cell as the reader, another
-	says     []string // lines for the log
-	scratch  []float64
 }
 
 // median of a figure over the hosts of a role that have one.
@@ -350,7 +376,7 @@
 	return xs[len(xs)/2]
 }
 
-// bucket tells whether a tenant asks for more than its share: it fills at the share's rate, to one second's worth.
+// bucket tells whether a tenant asks for more than its share; it fills at that rate, to one second's worth.
 type bucket struct {
 	level float64
 	at    Nanos
--- a/policy/told.go
+++ b/policy/told.go
@@ -25,17 +25,22 @@
 	shortest := release
 	for i, t := range tracks {
 		if t.Expected <= 0 || t.Patience <= 0 {
-			return nil, fmt.Errorf("track %d: expected time %d and patience %d: want both above 0", i, t.Expected, t.Patience)
+			return nil, fmt.Errorf("track %d: expected time %d and patience %d: want both above 0",
+				i, t.Expected, t.Patience)
 		}
 		shortest = min(shortest, t.Expected)
 	}
-	d := &Dispatcher{place: place, tracks: tracks, tenants: tenants, roles: roles, cold: cold, launching: launching,
-		answering: answering, listing: listing, release: release, rng: chance{seed}, jobs: newSlab(), shares: make([]bucket, len(tenants)),
-		byID: make(map[HostID]int32), holds: newBeginnings(), room: math.MaxInt32,
-		wakeAt: Never, lookAt: Never}
+	d := &Dispatcher{
+		intake: intake{tracks: tracks, tenants: tenants, answering: answering, jobs: newSlab(),
+			shares: make([]bucket, len(tenants))},
+		pool:     pool{place: place, roles: roles, byID: make(map[HostID]int32), holds: newBeginnings()},
+		guards:   guards{cold: cold, launching: launching, release: release},
+		pressure: pressure{room: math.MaxInt32},
+		clockwork: clockwork{listing: listing, watching: !listing.Asked, wakeAt: Never, lookAt: Never,
+			step: max(shortest/lookParts, answering.Round, 1)},
+		rng: chance{seed},
+	}
 	d.rng.below(1)
-	d.step = max(shortest/lookParts, answering.Round, 1)
-	d.watching = !listing.Asked
 	return d, nil
 }
 
@@ -49,7 +54,8 @@
 }
 
 // HostListed is one entry of the news.
-func (d *Dispatcher) HostListed(id HostID, zone ZoneID, kind KindID, cell CellID, health Health, launched Nanos) {
+func (d *Dispatcher) HostListed(id HostID, zone ZoneID, kind KindID, cell CellID, health Health,
+	launched Nanos) {
 	i, ok := d.byID[id]
 	if !ok {
 		i = int32(len(d.hosts))
@@ -138,16 +144,5 @@
 	}
 	h.last = x
 	h.carried.add(now, d.cold.Window)
-	if h.role == Reader {
-		setWindow(&h.window, h.out, x)
-	}
-	switch {
-	case d.crawls(now, j):
-	case x > poorAnswer:
-		d.poor++
-		h.answers.add(now, x)
-	default:
-		d.good++
-		h.answers.add(now, x)
-	}
+	d.weigh(now, j, h, x)
 }
