Cold hosts get a share of what warm fellows carried, remembered when all are cold

The share now rests on the median that warm hosts answered, remembered past their loss, and is 0.8 of what would topple a host instead of 0.5.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,7 @@
 	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
 	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
 	waitShare    = 1.0 / 8  // of the expected time a new job may wait: the work needs the rest
-	coldMargin   = 0.5      // of what topples a cold host: the rest is for the dispatchers that can't be seen
+	coldMargin   = 0.8      // of what topples a cold host: the rest is for chance and unequal sights
 	holdMargin   = 0.6      // of the time for letting go that a held state may wait
 	lookParts    = 16       // of the shortest time that decisions wait for, between two looks at everything
 )
@@ -122,6 +122,7 @@
 		h.high = h.answers.quantile(now-8*d.tracks[0].Expected, highQuantile)
 		h.mid = h.answers.quantile(now-8*d.tracks[0].Expected, 0.5)
 	}
+	was := d.lookedAt
 	d.lookedAt = now
 	for role := Reader; role < roleCount; role++ {
 		if x := d.median(role, func(h *host) float64 { return h.high }); x > 0 {
@@ -129,6 +130,11 @@
 		}
 		d.typical[role] = d.median(role, func(h *host) float64 { return h.mid })
 		d.pace[role] = d.median(role, func(h *host) float64 { return h.busy / max(h.done, 1) })
+		if mean := d.median(role, func(h *host) float64 { return d.warmCarry(now, h) }); mean > d.carry[role] {
+			d.carry[role] = mean
+		} else if d.cold.Warm > 0 {
+			d.carry[role] *= max(0, 1-float64(now-was)/float64(4*d.cold.Warm)) // outlasts any warm-up
+		}
 	}
 	for i := range d.hosts {
 		h := &d.hosts[i]
@@ -516,25 +522,20 @@
 	return d.cold.Window > 0 && h.launched > 0 && now < h.launched+d.cold.Warm
 }
 
-// coldRoom keeps rule four alone: a host that has just started gets a share of what its warm fellows
-// carry from here, so that all dispatchers together stay under what topples it, and at least one launch
-// in a window.
-func (d *Dispatcher) coldRoom(now Nanos, h *host) bool {
-	if !d.isCold(now, h) {
-		return true
-	}
-	total, warm := int32(0), int32(0)
-	for i := range d.hosts {
-		if o := &d.hosts[i]; o.role == h.role && o.health == Serving && !d.isCold(now, o) {
-			total += o.carried.sum(now, d.cold.Window)
-			warm++
-		}
-	}
-	room := 1.0
-	if warm > 0 {
-		room = max(room, coldMargin*d.cold.Multiple*d.cold.From*float64(total)/float64(warm))
+// warmCarry is what a warm host answered for this dispatcher over a window; 0 for one that has just started.
+func (d *Dispatcher) warmCarry(now Nanos, h *host) float64 {
+	if d.isCold(now, h) {
+		return 0
 	}
-	return float64(h.sent.sum(now, d.cold.Window))+1 <= room
+	return float64(h.carried.sum(now, d.cold.Window))
+}
+
+// coldRoom keeps rule four alone: a host that has just started gets a share of what warm fellows carry from here, or
+// carried before they all were lost, so that all dispatchers together stay under what topples it, and at least one
+// launch in a window. A dispatcher that has just started itself has seen nobody carry anything.
+func (d *Dispatcher) coldRoom(now Nanos, h *host) bool {
+	room := max(1, coldMargin*d.cold.Multiple*d.cold.From*d.carry[h.role])
+	return !d.isCold(now, h) || float64(h.sent.sum(now, d.cold.Window))+1 <= room
 }
 
 // rank orders hosts for a pick: the least wins, the first figure counting most.
--- a/policy/state.go
+++ b/policy/state.go
@@ -326,6 +326,7 @@
 	usual   [roleCount]float64 // median over hosts of their high answer times, as shares of the expected time
 	typical [roleCount]float64 // median over hosts of their median answer times
 	pace    [roleCount]float64 // median over hosts of their stream time for a unit of work
+	carry   [roleCount]float64 // median of what their warm hosts answered over a window, remembered
 	lasts   Nanos              // usual length of a stream
 	ended   int64              // streams seen to their end
 	pulls   [2]ring            // first answers of writers, as shares of expected: near, far
