--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,7 @@
 	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
 	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
 	waitShare    = 1.0 / 8  // of the expected time a new job may wait: the work needs the rest
-	coldMargin   = 0.8      // of what topples a cold host: the rest is for chance and unequal sights
+	coldMargin   = 0.6      // of what topples a cold host: the rest is for chance and unequal sights
 	holdMargin   = 0.6      // of the time for letting go that a held state may wait
 	lookParts    = 16       // of the shortest time that decisions wait for, between two looks at everything
 )
