Windows of a role and of a cell's link, below one as pauses; mixed hosts read only under pressure while streams are few

A floor of one pull or read out at each dispatcher adds up to more than a link or pool bears. Windows now fall below one launch, as pauses between.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -99,24 +99,28 @@
 	return d.room
 }
 
-// setWindow bounds what is out at once by how long it takes, share x of the expected time: own launches
-// unanswered by hosts of a role, or pulls from a reader to other cells. A queue at a reader makes sessions come
-// back later than their text is kept, which makes more to read; a queue on a link delays every pull. A window
-// opens with the first late answer; it is cut no further than least.
-func setWindow(window *float64, out int32, x, least float64) {
+// heed bounds what is out at once by how long it takes, share x of the expected time: own launches unanswered
+// by hosts of a role, or pulls over the link of a cell. A queue at a reader makes sessions come back later
+// than their text is kept, which makes more to read; on a link pulls delay each other until none ends in time.
+// A window opens with the first late answer, and is cut down to what lets all dispatchers together keep a few
+// waiting at each host. Less than one stands for pauses.
+func (d *Dispatcher) heed(w *window, x, hosts float64) {
 	if x > lateRead {
-		if *window == 0 {
-			*window = float64(out + 1)
+		if w.most == 0 {
+			w.most = float64(w.out + 1)
 		}
-		*window = max(roomCut**window, least, 1)
-	} else if *window > 0 {
-		*window += 1 / *window
+		w.most = max(roomCut*w.most, waitAtHost*hosts/float64(d.place.Count))
+	} else if w.most > 0 {
+		w.most += min(1, 1/w.most)
 	}
 }
 
-// bound sets the window of a role. All dispatchers together may keep a few launches waiting at each host.
-func (d *Dispatcher) bound(role Role, x float64) {
-	setWindow(&d.window[role], d.outs[role], x, waitAtHost*float64(d.serving[role])/float64(d.place.Count))
+// open tells whether a window lets one more out.
+func (d *Dispatcher) open(now Nanos, w *window) bool {
+	if w.most == 0 || w.most >= 1 {
+		return w.most == 0 || float64(w.out) < w.most
+	}
+	return w.out == 0 && now >= w.sent+Nanos(lateRead*float64(d.tracks[0].Expected)/w.most)
 }
 
 // setRoom finds how many jobs in hand the pools bear, from how their answers come: cut when many are late
@@ -144,7 +148,7 @@
 
 // weigh takes a first answer, of share x of its job's expected time, as a sign of the load and of its host.
 func (d *Dispatcher) weigh(now Nanos, j *job, h *host, x float64) {
-	d.bound(h.role, x)
+	d.heed(&d.waits[h.role], x, d.serving[h.role])
 	d.recent[h.role].add(now, x)
 	if d.crawls(now, j) {
 		return
@@ -172,7 +176,7 @@
 		bad, h.doubt, h.downed, why = 1, max(h.doubt, 2*failLimit), true, "not reached"
 	case Turned:
 		d.press(true)
-		d.bound(h.role, 1)
+		d.heed(&d.waits[h.role], 1, d.serving[h.role])
 		h.fullTill = now + j.expected/8
 		return
 	case NotSent, Stateless:
@@ -392,14 +396,14 @@
 		h.moved = now
 	}
 	h.out++
-	d.outs[h.role]++
+	d.waits[h.role].send(now)
 	h.longest = max(h.longest, j.expected-d.tracks[j.Track].Expected)
 	h.spent++
 	if h.role != Reader {
 		h.streams++
 	}
 	if j.phase == toWrite && d.hosts[j.reader].cell != h.cell {
-		d.hosts[j.reader].pulling++
+		d.cells[d.hosts[j.reader].at].link.send(now)
 	}
 	if j.phase == toRead {
 		j.unsplit = h.role != Reader
@@ -437,7 +441,7 @@
 	switch {
 	case h.health != Serving || !d.inGroup(j, h) || !d.coldRoom(now, h): // rules two, three and four
 		return false
-	case now < h.fullTill || now < h.aside || d.window[h.role] > 0 && float64(d.outs[h.role]) >= d.window[h.role]:
+	case now < h.fullTill || now < h.aside || !d.open(now, &d.waits[h.role]):
 		return false
 	case pass < 2 && (h.trial && h.out > 0 || d.stalled(now, h)):
 		return false
@@ -480,8 +484,8 @@
 }
 
 // pickMixed is the design's rule for short prompts: the mixed host with fewest own streams reads them
-// itself. While own streams are too few to tell, as many go there as its share of the hosts that answer:
-// else hundreds of dispatchers would each find it empty. It also serves where no reader is left on the list.
+// itself. While own streams are too few to tell, none do but under pressure: hundreds of dispatchers would
+// each find it empty, and what it reads slows its streams. It also serves where no reader is on the list.
 func (d *Dispatcher) pickMixed(now Nanos, j *job, pass int) int32 {
 	if j.Prompt-j.Shared >= shortPrompt {
 		return noHost
@@ -490,13 +494,15 @@
 	bound := fewest + nearStreams
 	if pressed {
 		bound *= gateFactor
-	} else if fewest < tellStreams && chanceOf(uint64(j.ID)) >= d.mixedShare {
+	} else if fewest < tellStreams {
 		return noHost
 	}
 	d.findHomes(now, j, Mixed, pass)
 	return d.least(func(i int32, h *host) (rank, bool) {
 		willing := h.role == Mixed && h.streams <= bound && (pressed || h.high <= slowHarms)
-		return rank{int64(h.streams), d.apart(now, j, i)}, willing && d.fit(now, j, i, pass)
+		apart := d.apart(now, j, i)
+		willing = willing && (apart < 2 || j.Prompt < shortPrompt)
+		return rank{apart, int64(h.streams)}, willing && d.fit(now, j, i, pass)
 	})
 }
 
@@ -568,6 +574,9 @@
 		if h.zone == d.place.Zone {
 			far = 0
 		}
+		if c := &d.cells[h.at]; c.link.most > 0 && chanceOf(uint64(j.ID)) >= c.near && !d.open(now, &c.link) {
+			apart += 3 // what it reads would have to cross a jammed link
+		}
 		return rank{apart, log + j.Prompt - held, far}, h.role == Reader && d.fit(now, j, i, pass)
 	})
 }
@@ -657,7 +666,7 @@
 // bear if all dispatchers do so; the rest goes where writers are more than their readers need.
 func (d *Dispatcher) pickWriter(now Nanos, j *job, pass int) int32 {
 	from := &d.hosts[j.reader]
-	shut := from.pullWindow > 0 && float64(from.pulling) >= from.pullWindow
+	shut := !d.open(now, &d.cells[from.at].link)
 	fewest := int32(1 << 30)
 	for i := range d.hosts {
 		h := &d.hosts[i]
@@ -685,9 +694,6 @@
 		if c := &d.cells[h.at]; reach > 0 && far == reach && d.rng.unit() < c.spare[far-1] {
 			r[0] = -1
 		}
-		if h.role == Mixed && d.mixedShare < 1 && j.Prompt-j.Shared < shortPrompt && fewest < tellStreams {
-			r[0] = 3 // it has had its share of short prompts
-		}
 		return r, h.role != Reader && !(shut && far > 0) && h.streams <= bound && d.fit(now, j, i, pass)
 	})
 }
@@ -699,13 +705,12 @@
 	for i := range d.cells {
 		c := &d.cells[i]
 		z := &d.zones[c.zone]
-		c.near = min(1, c.has[Writer]/max(c.has[Reader], 1e-9))
+		c.near = min(1, c.pens/max(c.has[Reader], 1e-9))
 		c.stay = min(1, z.spare/max(z.lack, 1e-9))
 		c.spare = [2]float64{}
-		if c.has[Writer] > 0 {
-			c.spare[0] = max(0, 1-c.has[Reader]/c.has[Writer])
+		if c.pens > 0 {
+			c.spare[0] = max(0, 1-c.has[Reader]/c.pens)
 			c.spare[1] = c.spare[0] * max(0, 1-z.lack/max(z.spare, 1e-9))
 		}
 	}
-	d.mixedShare = d.serving[Mixed] / max(d.serving[Mixed]+d.serving[Writer], 1)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -115,35 +115,33 @@
 }
 
 type host struct {
-	id         HostID
-	zone       ZoneID
-	cell       CellID
-	at         int32 // its place among the cells
-	role       Role
-	health     Health
-	launched   Nanos   // last known start; 0 = long ago
-	queued     int64   // own prompt tokens sent there and not yet read
-	out        int32   // own launches there that have not answered
-	streams    int32   // own jobs there as a writer, begun or not
-	moved      Nanos   // last answer, or first launch since it stood idle
-	longest    Nanos   // longest allowance for prompt length among the launches out
-	answers    ring    // first answers, as shares of the job's expected time
-	high       float64 // high quantile of them
-	last       float64 // the last of them
-	doubt      float64 // share of recent launches that failed
-	aside      Nanos   // set aside until then
-	spell      Nanos   // length of the last spell aside
-	trial      bool    // back from aside, not yet proven
-	downed     bool    // has not answered since it could not be reached
-	fullTill   Nanos
-	pulling    int32   // own pulls from this reader to other cells that are under way
-	pullWindow float64 // most of them; 0 = no bound
-	load       Load
-	loadAt     Nanos
-	grantFor   Nanos   // start that the grants are for
-	grantAt    Nanos   // granted up to then
-	granted    float64 // launches granted since it started
-	spent      float64 // of those, the ones made or lapsed
+	id       HostID
+	zone     ZoneID
+	cell     CellID
+	at       int32 // its place among the cells
+	role     Role
+	health   Health
+	launched Nanos   // last known start; 0 = long ago
+	queued   int64   // own prompt tokens sent there and not yet read
+	out      int32   // own launches there that have not answered
+	streams  int32   // own jobs there as a writer, begun or not
+	moved    Nanos   // last answer, or first launch since it stood idle
+	longest  Nanos   // longest allowance for prompt length among the launches out
+	answers  ring    // first answers, as shares of the job's expected time
+	high     float64 // high quantile of them
+	last     float64 // the last of them
+	doubt    float64 // share of recent launches that failed
+	aside    Nanos   // set aside until then
+	spell    Nanos   // length of the last spell aside
+	trial    bool    // back from aside, not yet proven
+	downed   bool    // has not answered since it could not be reached
+	fullTill Nanos
+	load     Load
+	loadAt   Nanos
+	grantFor Nanos   // start that the grants are for
+	grantAt  Nanos   // granted up to then
+	granted  float64 // launches granted since it started
+	spent    float64 // of those, the ones made or lapsed
 }
 
 // restarted forgets what no longer holds once a host's process is another.
@@ -311,12 +309,23 @@
 	scratch []float64
 }
 
+// window bounds what is out at once; 0 = no bound yet.
+type window struct {
+	most float64
+	out  int32
+	sent Nanos // the last that went out
+}
+
+func (w *window) send(now Nanos) { w.out, w.sent = w.out+1, now }
+
 // cellPart is a set of hosts on one link: its part of all hosts, and how its readers and writers go together.
 type cellPart struct {
 	id    CellID
 	zone  ZoneID
 	has   [roleCount]float64
+	pens  float64    // its part of the hosts that answer
 	near  float64    // how much of what its readers read its own writers can take
+	link  window     // own pulls from its readers to other cells
 	stay  float64    // how much of the rest its zone can
 	spare [2]float64 // share of its writers left for others of its zone, and of other zones
 }
@@ -337,25 +346,24 @@
 
 // pool is the hosts, what they hold and how they do.
 type pool struct {
-	place      Place
-	roles      []Role
-	hosts      []host
-	byID       map[HostID]int32
-	holds      beginnings
-	recent     [roleCount]ring    // first answers of late, as shares of the expected time
-	usual      [roleCount]float64 // high quantile of them
-	fellows    [roleCount]float64 // median over hosts of the high quantile of each
-	typical    [roleCount]float64 // and their median
-	carry      [roleCount]float64 // what a warm host answers for this dispatcher over a window
-	answers    [roleCount]float64 // answers of warm hosts of late ...
-	warmTime   [roleCount]float64 // ... and how many windows warm hosts served in that time
-	cells      []cellPart
-	zones      []zonePart
-	serving    [roleCount]float64 // hosts in service
-	mixedShare float64            // of the hosts that answer
-	homes      []int32            // hosts likely to hold the beginning of the job in hand
-	own        int32              // the one of them that its session gives
-	pulls      [2]ring            // first answers of writers, as shares of expected: near, far
+	place    Place
+	roles    []Role
+	hosts    []host
+	byID     map[HostID]int32
+	holds    beginnings
+	recent   [roleCount]ring    // first answers of late, as shares of the expected time
+	usual    [roleCount]float64 // high quantile of them
+	fellows  [roleCount]float64 // median over hosts of the high quantile of each
+	typical  [roleCount]float64 // and their median
+	carry    [roleCount]float64 // what a warm host answers for this dispatcher over a window
+	answers  [roleCount]float64 // answers of warm hosts of late ...
+	warmTime [roleCount]float64 // ... and how many windows warm hosts served in that time
+	cells    []cellPart
+	zones    []zonePart
+	serving  [roleCount]float64 // hosts in service
+	homes    []int32            // hosts likely to hold the beginning of the job in hand
+	own      int32              // the one of them that its session gives
+	pulls    [2]ring            // first answers of writers, as shares of expected: near, far
 }
 
 // guards is what bounds launches and what is held.
@@ -369,9 +377,8 @@
 type pressure struct {
 	active int32 // jobs launched and not over
 	room   float64
-	poor   float64            // share of late ones among the last few answers
-	window [roleCount]float64 // most own launches unanswered at hosts of a role; 0 = no bound
-	outs   [roleCount]int32   // own launches unanswered there
+	poor   float64           // share of late ones among the last few answers
+	waits  [roleCount]window // own launches unanswered at hosts of a role
 	roomAt Nanos
 	told   bool // an answer came since then
 }
@@ -439,14 +446,13 @@
 	}
 	for i := range d.cells {
 		c := &d.cells[i]
-		for role := range c.has {
-			c.has[role] /= max(d.serving[role], 1)
-		}
+		c.pens = (c.has[Writer] + c.has[Mixed]) / max(d.serving[Writer]+d.serving[Mixed], 1)
+		c.has[Reader] /= max(d.serving[Reader], 1)
 		for int(c.zone) >= len(d.zones) {
 			d.zones = append(d.zones, zonePart{})
 		}
-		d.zones[c.zone].lack += max(0, c.has[Reader]-c.has[Writer])
-		d.zones[c.zone].spare += max(0, c.has[Writer]-c.has[Reader])
+		d.zones[c.zone].lack += max(0, c.has[Reader]-c.pens)
+		d.zones[c.zone].spare += max(0, c.pens-c.has[Reader])
 	}
 }
 
--- a/policy/told.go
+++ b/policy/told.go
@@ -103,7 +103,7 @@
 	if j == nil || !j.out || j.phase == streaming || shot != Shot(j.launches-1) {
 		return
 	}
-	d.answered(now, j, elapsed, true)
+	d.answered(now, j, elapsed, true, false)
 	j.phase, j.held, j.due = streaming, false, Never
 }
 
@@ -120,7 +120,7 @@
 	}
 	d.judge(now, h, j, how)
 	if j.phase != streaming {
-		d.answered(now, j, elapsed, how == Read || how == Honoured)
+		d.answered(now, j, elapsed, how == Read || how == Honoured, how == Late || j.withdrew)
 	}
 	if j.phase != toRead || j.unsplit {
 		h.streams--
@@ -165,10 +165,10 @@
 }
 
 // answered books the first answer of the launch that is out: a read that ended, a stream begun, or a failure.
-func (d *Dispatcher) answered(now Nanos, j *job, elapsed Nanos, good bool) {
+func (d *Dispatcher) answered(now Nanos, j *job, elapsed Nanos, good, slow bool) {
 	h := &d.hosts[j.at]
 	h.out--
-	d.outs[h.role]--
+	d.waits[h.role].out--
 	h.queued = max(h.queued-j.tokens, 0)
 	j.tokens = 0
 	h.moved = now
@@ -180,17 +180,18 @@
 		from, far := &d.hosts[j.reader], 0
 		if from.cell != h.cell {
 			far = 1
-			from.pulling--
+			d.cells[from.at].link.out--
 		}
-		if good || j.withdrew { // a pull withdrawn took at least so long
+		if good || slow { // a pull that did not end took at least so long
 			d.pulls[far].add(now, x)
 			if far == 1 {
-				setWindow(&from.pullWindow, from.pulling, x, 1)
+				c := &d.cells[from.at]
+				d.heed(&c.link, x, c.has[Reader]*d.serving[Reader])
 			}
 		}
 	}
 	if !good {
-		if j.withdrew {
+		if slow {
 			d.recent[h.role].add(now, x)
 		}
 		return
