--- a/policy/policy.go
+++ b/policy/policy.go
@@ -165,13 +165,14 @@
 	case Failed, Broken:
 		bad = 1
 	case Late, Recalled:
-		if d.crawls(now, j) || j.phase == streaming || !d.stalled(now, h) && !j.withdrew || j.over {
+		if d.crawls(now, j) || j.phase == streaming || !d.stalled(now, h, j.Track) && !j.withdrew || j.over {
 			if how == Late {
 				d.press(true)
 			}
 			return
 		}
 		bad, h.doubt, why = 1, max(h.doubt, 2*failLimit), "silent"
+		h.by[j.Track].quiet = now + d.between(h.role) // it may well serve the other tracks
 	case Unreachable:
 		bad, h.doubt, h.downed, why = 1, max(h.doubt, 2*failLimit), true, "not reached"
 	case Turned:
@@ -219,6 +220,14 @@
 	d.says = append(d.says, fmt.Sprintf("host %d set aside for %d ms: %s", h.id, h.spell/1e6, why))
 }
 
+// between is the usual time between two own answers of a host: a mark that lapses sooner is never used.
+func (d *Dispatcher) between(role Role) Nanos {
+	if d.carry[role] == 0 {
+		return 0
+	}
+	return Nanos(float64(d.cold.Window) / d.carry[role])
+}
+
 // ---- What is decided.
 
 // Next gives the next decision, until there is none.
@@ -274,7 +283,7 @@
 		if now >= last { // an outcome that never comes must not cost the final answer
 			return d.giveUp(now, j)
 		}
-		if d.launching.Recall && !j.withdrew && d.mayRelaunch(now, j) && d.stalled(now, &d.hosts[j.at]) {
+		if d.launching.Recall && !j.withdrew && d.mayRelaunch(now, j) && d.stalled(now, &d.hosts[j.at], j.Track) {
 			return d.recall(j)
 		}
 		d.lookAgain(now, j, min(last, now+d.step))
@@ -392,10 +401,7 @@
 
 func (d *Dispatcher) launch(now Nanos, j *job, to int32) Decision {
 	h := &d.hosts[to]
-	if h.out == 0 {
-		h.moved = now
-	}
-	h.out++
+	h.took(now, j.Track)
 	d.waits[h.role].send(now)
 	h.longest = max(h.longest, j.expected-d.tracks[j.Track].Expected)
 	h.spent++
@@ -441,9 +447,9 @@
 	switch {
 	case h.health != Serving || !d.inGroup(j, h) || !d.coldRoom(now, h): // rules two, three and four
 		return false
-	case now < h.fullTill || now < h.aside || !d.open(now, &d.waits[h.role]):
+	case now < h.fullTill || now < h.aside || now < h.by[j.Track].quiet || !d.open(now, &d.waits[h.role]):
 		return false
-	case pass < 2 && (h.trial && h.out > 0 || d.stalled(now, h)):
+	case pass < 2 && (h.trial && h.out > 0 || d.stalled(now, h, j.Track)):
 		return false
 	}
 	return pass > 0 || !j.shuns(i)
@@ -453,9 +459,9 @@
 // hung, cut off, or gone with the list still silent. Its first answer lifts it. A long prompt may take
 // twice the time that the clients allow for it: to call its reader hung would send it on to spoil the
 // next one.
-func (d *Dispatcher) stalled(now Nanos, h *host) bool {
+func (d *Dispatcher) stalled(now Nanos, h *host, track TrackID) bool {
 	usual := stallAgainst * max(d.usual[h.role], stallFloor) * float64(d.tracks[0].Expected)
-	return h.out > 0 && now-h.moved > Nanos(usual)+h.longest
+	return h.by[track].out > 0 && now-h.by[track].moved > Nanos(usual)+h.longest
 }
 
 func (d *Dispatcher) isCold(now Nanos, h *host) bool {
--- a/policy/state.go
+++ b/policy/state.go
@@ -132,9 +132,10 @@
 	last     float64 // the last of them
 	doubt    float64 // share of recent launches that failed
 	aside    Nanos   // set aside until then
-	spell    Nanos   // length of the last spell aside
-	trial    bool    // back from aside, not yet proven
-	downed   bool    // has not answered since it could not be reached
+	by       []trackAt
+	spell    Nanos // length of the last spell aside
+	trial    bool  // back from aside, not yet proven
+	downed   bool  // has not answered since it could not be reached
 	fullTill Nanos
 	load     Load
 	loadAt   Nanos
@@ -144,10 +145,38 @@
 	spent    float64 // of those, the ones made or lapsed
 }
 
+// trackAt is how one track does at a host.
+type trackAt struct {
+	out   int32 // own launches that have not been answered
+	moved Nanos // last answer, or first launch since none was out
+	quiet Nanos // jobs of it are kept from the host until then
+}
+
+// took takes down a launch, gave its answer.
+func (h *host) took(now Nanos, track TrackID) {
+	b := &h.by[track]
+	if h.out == 0 {
+		h.moved = now
+	}
+	if b.out == 0 {
+		b.moved = now
+	}
+	h.out, b.out = h.out+1, b.out+1
+}
+
+func (h *host) gave(now Nanos, track TrackID) {
+	b := &h.by[track]
+	h.moved, b.moved = now, now
+	h.out, b.out = h.out-1, b.out-1
+}
+
 // restarted forgets what no longer holds once a host's process is another.
 func (h *host) restarted() {
 	h.doubt, h.aside, h.spell, h.trial, h.downed, h.load = 0, 0, 0, false, false, NoLoad
 	h.answers = ring{}
+	for t := range h.by {
+		h.by[t].quiet = 0
+	}
 }
 
 const ringSize = 32
--- a/policy/told.go
+++ b/policy/told.go
@@ -61,7 +61,7 @@
 	if !ok {
 		i = int32(len(d.hosts))
 		d.byID[id] = i
-		d.hosts = append(d.hosts, host{id: id, load: NoLoad})
+		d.hosts = append(d.hosts, host{id: id, load: NoLoad, by: make([]trackAt, len(d.tracks))})
 	}
 	h := &d.hosts[i]
 	if launched > h.launched && ok { // a new process has kept nothing, and no old verdict on it holds
@@ -167,11 +167,10 @@
 // answered books the first answer of the launch that is out: a read that ended, a stream begun, or a failure.
 func (d *Dispatcher) answered(now Nanos, j *job, elapsed Nanos, good, slow bool) {
 	h := &d.hosts[j.at]
-	h.out--
+	h.gave(now, j.Track)
 	d.waits[h.role].out--
 	h.queued = max(h.queued-j.tokens, 0)
 	j.tokens = 0
-	h.moved = now
 	if h.out == 0 {
 		h.longest = 0
 	}
