--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,8 +171,8 @@
 			}
 			return
 		}
-		bad, h.doubt, why = 1, max(h.doubt, 2*failLimit), "silent"
-		h.by[j.Track].quiet = now + d.between(h.role) // it may well serve the other tracks
+		d.quieten(now, h, j)
+		return
 	case Unreachable:
 		bad, h.doubt, h.downed, why = 1, max(h.doubt, 2*failLimit), true, "not reached"
 	case Turned:
@@ -220,6 +220,21 @@
 	d.says = append(d.says, fmt.Sprintf("host %d set aside for %d ms: %s", h.id, h.spell/1e6, why))
 }
 
+// quieten keeps jobs of a track from a host that was silent to one, for spells that double; it may well serve
+// the others. All are kept from it for a moment, unless it has answered another since.
+func (d *Dispatcher) quieten(now Nanos, h *host, j *job) {
+	b := &h.by[j.Track]
+	if now > b.quiet+4*b.spell {
+		b.spell = 0
+	}
+	b.spell = min(max(2*b.spell, d.tracks[0].Expected/2, d.between(h.role)), max(d.cold.Warm, d.tracks[0].Expected))
+	b.quiet, h.trial = now+b.spell, true
+	if h.moved <= j.sent {
+		h.aside = max(h.aside, now+d.tracks[0].Expected/2)
+	}
+	d.says = append(d.says, fmt.Sprintf("host %d silent to track %d, left for %d ms", h.id, j.Track, b.spell/1e6))
+}
+
 // between is the usual time between two own answers of a host: a mark that lapses sooner is never used.
 func (d *Dispatcher) between(role Role) Nanos {
 	if d.carry[role] == 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -149,7 +149,8 @@
 type trackAt struct {
 	out   int32 // own launches that have not been answered
 	moved Nanos // last answer, or first launch since none was out
-	quiet Nanos // jobs of it are kept from the host until then
+	quiet Nanos // jobs of it are kept from the host until then ...
+	spell Nanos // ... for so long
 }
 
 // took takes down a launch, gave its answer.
@@ -175,7 +176,7 @@
 	h.doubt, h.aside, h.spell, h.trial, h.downed, h.load = 0, 0, 0, false, false, NoLoad
 	h.answers = ring{}
 	for t := range h.by {
-		h.by[t].quiet = 0
+		h.by[t].quiet, h.by[t].spell = 0, 0
 	}
 }
 
