--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,7 @@
 	slowAgainst  = 3.0      // times its fellows' median: uneven load makes 2, sickness 4 and more
 	slowHarms    = 1.0 / 3  // of the expected time: answers faster than that harm nobody, whatever fellows do
 	stallAgainst = 2.0      // silence of so many high answer times is no chance
-	stallFloor   = 1.0 / 4  // of the expected time, taken as the high answer time while hosts are quicker
+	stallFloor   = 1.0 / 6  // of the expected time, taken as the high answer time while hosts are quicker
 	failKeep     = 0.8      // weight of the past in a host's share of failures
 	failLimit    = 0.3      // two failures in a row from clean, or one launch in three
 	mostAside    = 3        // one host in so many may be set aside for slowness or failures
@@ -298,7 +298,7 @@
 		if now >= last { // an outcome that never comes must not cost the final answer
 			return d.giveUp(now, j)
 		}
-		if d.launching.Recall && !j.withdrew && d.mayRelaunch(now, j) && d.stalled(now, &d.hosts[j.at], j.Track) {
+		if d.launching.Recall && j.phase == toWrite && !j.withdrew && d.mayRelaunch(now, j) && d.stalled(now, &d.hosts[j.at], j.Track) {
 			return d.recall(j)
 		}
 		d.lookAgain(now, j, min(last, now+d.step))
@@ -444,8 +444,8 @@
 	return Decision{Verb: Launch, Job: j.ID, Host: h.id, For: d.timeOut(now, j, h.role)}
 }
 
-// timeOut bounds a launch. Where launches can be recalled, silence ends them and the time-out only keeps
-// the last quarter for another; else several usual answer times, at most half of what is left.
+// timeOut bounds a launch. Where launches can be recalled, a writer's silence ends them and the time-out only
+// keeps the last quarter for another; else several usual answer times, at most half of what is left.
 func (d *Dispatcher) timeOut(now Nanos, j *job, role Role) Nanos {
 	left := j.Deadline - now
 	if d.launching.Recall {
@@ -471,9 +471,8 @@
 }
 
 // stalled tells that a host has launches out and has not answered one for far longer than its role takes:
-// hung, cut off, or gone with the list still silent. Its first answer lifts it. A long prompt may take
-// twice the time that the clients allow for it: to call its reader hung would send it on to spoil the
-// next one.
+// hung, cut off, or gone with the list still silent. Its first answer lifts it. A reader gets no new job then,
+// but a read is not recalled: mostly it has only queued, and read anew elsewhere it spoils that queue too.
 func (d *Dispatcher) stalled(now Nanos, h *host, track TrackID) bool {
 	usual := stallAgainst * max(d.usual[h.role], stallFloor) * float64(d.tracks[0].Expected)
 	return h.by[track].out > 0 && now-h.by[track].moved > Nanos(usual)+h.longest
