--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,7 @@
 	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
 	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
 	waitShare    = 1.0 / 8  // of the expected time a new job may wait: the work needs the rest
-	coldMargin   = 0.6      // of what topples a cold host: the rest is for chance and unequal sights
+	coldMargin   = 0.9      // of what topples a cold host: the rest is for chance and unequal sights
 	holdMargin   = 0.6      // of the time for letting go that a held state may wait
 	lookParts    = 16       // of the shortest time that decisions wait for, between two looks at everything
 )
@@ -99,11 +99,11 @@
 	return d.room
 }
 
-// heed bounds what is out at once by how long it takes, share x of the expected time: own launches unanswered
-// by hosts of a role, or pulls over the link of a cell. A queue at a reader makes sessions come back later
-// than their text is kept, which makes more to read; on a link pulls delay each other until none ends in time.
-// A window opens with the first late answer, and is cut down to what lets all dispatchers together keep a few
-// waiting at each host. Less than one stands for pauses.
+// heed bounds what is out at once by how long it takes, share x of the expected time: own launches
+// unanswered by hosts of a role, or pulls over the link of a cell. A queue at a reader makes sessions come
+// back later than their text is kept, which makes more to read; on a link pulls delay each other until none
+// ends in time. A window opens with the first late answer, and is cut down to what lets all dispatchers
+// together keep a few waiting at each host. Less than one stands for pauses.
 func (d *Dispatcher) heed(w *window, x, hosts float64) {
 	if x > lateRead {
 		if w.most == 0 {
@@ -227,12 +227,13 @@
 	if now > b.quiet+4*b.spell {
 		b.spell = 0
 	}
-	b.spell = min(max(2*b.spell, d.tracks[0].Expected/2, d.between(h.role)), max(d.cold.Warm, d.tracks[0].Expected))
+	b.spell = max(2*b.spell, d.tracks[0].Expected/2, d.between(h.role))
+	b.spell = min(b.spell, max(d.cold.Warm, d.tracks[0].Expected))
 	b.quiet, h.trial = now+b.spell, true
 	if h.moved <= j.sent {
 		h.aside = max(h.aside, now+d.tracks[0].Expected/2)
 	}
-	d.says = append(d.says, fmt.Sprintf("host %d silent to track %d, left for %d ms", h.id, j.Track, b.spell/1e6))
+	d.says = append(d.says, fmt.Sprintf("host %d silent to track %d, left %d ms", h.id, j.Track, b.spell/1e6))
 }
 
 // between is the usual time between two own answers of a host: a mark that lapses sooner is never used.
@@ -298,7 +299,8 @@
 		if now >= last { // an outcome that never comes must not cost the final answer
 			return d.giveUp(now, j)
 		}
-		if d.launching.Recall && j.phase == toWrite && !j.withdrew && d.mayRelaunch(now, j) && d.stalled(now, &d.hosts[j.at], j.Track) {
+		if d.launching.Recall && j.phase == toWrite && !j.withdrew && d.mayRelaunch(now, j) &&
+			d.stalled(now, &d.hosts[j.at], j.Track) {
 			return d.recall(j)
 		}
 		d.lookAgain(now, j, min(last, now+d.step))
@@ -471,8 +473,9 @@
 }
 
 // stalled tells that a host has launches out and has not answered one for far longer than its role takes:
-// hung, cut off, or gone with the list still silent. Its first answer lifts it. A reader gets no new job then,
-// but a read is not recalled: mostly it has only queued, and read anew elsewhere it spoils that queue too.
+// hung, cut off, or gone with the list still silent. Its first answer lifts it. A reader gets no new job
+// then, but a read is not recalled: mostly it has only queued, and read anew elsewhere it spoils that queue
+// too.
 func (d *Dispatcher) stalled(now Nanos, h *host, track TrackID) bool {
 	usual := stallAgainst * max(d.usual[h.role], stallFloor) * float64(d.tracks[0].Expected)
 	return h.by[track].out > 0 && now-h.by[track].moved > Nanos(usual)+h.longest
@@ -485,7 +488,7 @@
 // coldRoom keeps rule four alone. All dispatchers together may send a host that has just started a share of
 // what warm fellows carry, so each is granted its own small part of a launch as time goes on, by what it
 // sees them carry itself: the sum over all is right however little one of them sees. Where in its first
-// launch a dispatcher starts is spread by its number. A grant not used in half a window lapses, lest many
+// launch a dispatcher starts is spread by its number. A grant not used in two windows lapses, lest many
 // are saved up and spent at once. Who has seen nobody carry anything gets a part of one launch a window.
 func (d *Dispatcher) coldRoom(now Nanos, h *host) bool {
 	if !d.isCold(now, h) {
@@ -499,7 +502,7 @@
 	share := max(coldMargin*d.cold.Multiple*d.cold.From*d.carry[h.role], 1/n)
 	h.granted += share * float64(now-h.grantAt) / float64(d.cold.Window)
 	h.grantAt = now
-	h.spent = max(h.spent, math.Floor(h.granted-share/2))
+	h.spent = max(h.spent, math.Floor(h.granted-2*share))
 	return h.granted >= h.spent+1
 }
 
@@ -510,7 +513,8 @@
 	if j.Prompt-j.Shared >= shortPrompt {
 		return noHost
 	}
-	fewest, pressed := d.fewestStreams(now, j, pass), d.pressed(now, j, pass)
+	fewest := d.lowest(now, j, pass, func(h *host) (int64, bool) { return streams(h), h.role != Reader })
+	pressed := d.pressed(now, j, pass)
 	bound := fewest + nearStreams
 	if pressed {
 		bound *= gateFactor
@@ -519,10 +523,10 @@
 	}
 	d.findHomes(now, j, Mixed, pass)
 	return d.least(func(i int32, h *host) (rank, bool) {
-		willing := h.role == Mixed && h.streams <= bound && (pressed || h.high <= slowHarms)
+		willing := h.role == Mixed && streams(h) <= bound && (pressed || h.high <= slowHarms)
 		apart := d.apart(now, j, i)
 		willing = willing && (apart < 2 || j.Prompt < shortPrompt)
-		return rank{apart, int64(h.streams)}, willing && d.fit(now, j, i, pass)
+		return rank{apart, streams(h)}, willing && d.fit(now, j, i, pass)
 	})
 }
 
@@ -546,31 +550,31 @@
 	return true
 }
 
-// shortest is the fewest queued prompt tokens at any reader; Never if there is none.
-func (d *Dispatcher) shortest(now Nanos, j *job, pass int) Nanos {
-	lowest := Never
-	for i := range d.hosts {
-		if h := &d.hosts[i]; h.role == Reader && d.fit(now, j, int32(i), pass) {
-			lowest = min(lowest, Nanos(d.backlog(now, h)))
-		}
-	}
-	return lowest
-}
-
 // pickWithout places a job while there is no reader at all: at a mixed host whatever its length, or at a
 // writer where those read. It guards against a pool of readers that is lost whole.
 func (d *Dispatcher) pickWithout(now Nanos, j *job, pass int) int32 {
-	for i := range d.hosts {
-		if h := &d.hosts[i]; h.role == Reader && h.health == Serving && now >= h.aside {
-			return noHost
-		}
+	if d.serving[Reader] > 0 {
+		return noHost
 	}
 	return d.least(func(i int32, h *host) (rank, bool) {
 		reads := h.role == Mixed || h.role == Writer && d.launching.ReadAtPens
-		return rank{int64(h.streams)}, reads && d.fit(now, j, i, pass)
+		return rank{streams(h)}, reads && d.fit(now, j, i, pass)
 	})
 }
 
+// lowest is the least of a figure among the hosts that have it and may be sent a job.
+func (d *Dispatcher) lowest(now Nanos, j *job, pass int, of func(h *host) (int64, bool)) int64 {
+	low := int64(Never)
+	for i := range d.hosts {
+		if x, ok := of(&d.hosts[i]); ok && d.fit(now, j, int32(i), pass) {
+			low = min(low, x)
+		}
+	}
+	return low
+}
+
+func streams(h *host) int64 { return int64(h.streams) }
+
 // backlog is the design's load signal of a reader: own unread prompts, plus what the host reported of late.
 func (d *Dispatcher) backlog(now Nanos, h *host) int64 {
 	if h.load.Unread > 0 && now-h.loadAt < d.tracks[0].Expected {
@@ -584,11 +588,13 @@
 // shares the longest beginning and goes first: sessions that roam are read anew each time, and what they
 // leave drives out what others need.
 func (d *Dispatcher) pickReader(now Nanos, j *job, pass int) int32 {
-	lowest := d.shortest(now, j, pass)
+	lowest := d.lowest(now, j, pass, func(h *host) (int64, bool) {
+		return d.backlog(now, h), h.role == Reader
+	})
 	d.findHomes(now, j, Reader, pass)
 	return d.least(func(i int32, h *host) (rank, bool) {
 		log, held, apart, far := d.backlog(now, h), d.expectHeld(now, j, i), int64(2), int64(1)
-		if log < gateFactor*(int64(lowest)+j.Prompt) {
+		if log < gateFactor*(lowest+j.Prompt) {
 			apart = d.apart(now, j, i)
 		}
 		if h.zone == d.place.Zone {
@@ -655,17 +661,6 @@
 	return 2
 }
 
-// fewestStreams is the least number of own streams at any writer or mixed host.
-func (d *Dispatcher) fewestStreams(now Nanos, j *job, pass int) int32 {
-	fewest := int32(1 << 30)
-	for i := range d.hosts {
-		if h := &d.hosts[i]; h.role != Reader && d.fit(now, j, int32(i), pass) {
-			fewest = min(fewest, h.streams)
-		}
-	}
-	return fewest
-}
-
 // farSlow tells that pulls from other cells take far longer than those within one, and long enough to
 // matter: the links crawl. It lapses as soon as a few quick ones are seen, or none for some time.
 func (d *Dispatcher) farSlow(now Nanos) bool {
@@ -687,13 +682,9 @@
 func (d *Dispatcher) pickWriter(now Nanos, j *job, pass int) int32 {
 	from := &d.hosts[j.reader]
 	shut := !d.open(now, &d.cells[from.at].link)
-	fewest := int32(1 << 30)
-	for i := range d.hosts {
-		h := &d.hosts[i]
-		if h.role != Reader && !(shut && h.cell != from.cell) && d.fit(now, j, int32(i), pass) {
-			fewest = min(fewest, h.streams)
-		}
-	}
+	fewest := d.lowest(now, j, pass, func(h *host) (int64, bool) {
+		return streams(h), h.role != Reader && !(shut && h.cell != from.cell)
+	})
 	bound, reach, more := fewest+nearStreams, int64(0), 1.0
 	if d.farSlow(now) {
 		bound, more = bound*gateFactor, gateFactor
@@ -710,11 +701,11 @@
 		} else if h.zone == from.zone {
 			far = 1
 		}
-		r := rank{far, int64(h.streams), int64(h.load.Memory * 100)}
+		r := rank{far, streams(h), int64(h.load.Memory * 100)}
 		if c := &d.cells[h.at]; reach > 0 && far == reach && d.rng.unit() < c.spare[far-1] {
 			r[0] = -1
 		}
-		return r, h.role != Reader && !(shut && far > 0) && h.streams <= bound && d.fit(now, j, i, pass)
+		return r, h.role != Reader && !(shut && far > 0) && streams(h) <= bound && d.fit(now, j, i, pass)
 	})
 }
 
