--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,7 @@
 	slowHarms    = 1.0 / 3  // of the expected time: answers faster than that harm nobody, whatever fellows do
 	stallAgainst = 2.0      // silence of so many high answer times is no chance
 	stallFloor   = 1.0 / 6  // of the expected time, taken as the high answer time while hosts are quicker
+	manySilent   = 6        // launches out at a reader that answers none: a queue would move
 	failKeep     = 0.8      // weight of the past in a host's share of failures
 	failLimit    = 0.3      // two failures in a row from clean, or one launch in three
 	mostAside    = 3        // one host in so many may be set aside for slowness or failures
@@ -33,7 +34,7 @@
 	poorShare    = 1.0 / 4  // of the answers: one sick host makes fewer, so it is the pool that is full
 	waitAtHost   = 3.0      // launches of all dispatchers that may always wait at a host
 	beyondShare  = 3.0 / 4  // of the room is open to tenants beyond their share
-	homeSpread   = 2.0      // homes of a beginning, against the hosts that its jobs would keep busy
+	homeSpread   = 1.5      // homes of a beginning, against the hosts that its jobs would keep busy
 	roomCut      = 0.85     // of what is in hand is kept when the pool is full: a few steps find any level
 	roomGrow     = 1.0 / 16 // of the room is added back at a time: slower than it is cut
 	waitShare    = 1.0 / 8  // of the expected time a new job may wait: the work needs the rest
@@ -299,8 +300,8 @@
 		if now >= last { // an outcome that never comes must not cost the final answer
 			return d.giveUp(now, j)
 		}
-		if d.launching.Recall && j.phase == toWrite && !j.withdrew && d.mayRelaunch(now, j) &&
-			d.stalled(now, &d.hosts[j.at], j.Track) {
+		if h := &d.hosts[j.at]; d.launching.Recall && !j.withdrew && d.mayRelaunch(now, j) &&
+			(h.role != Reader || h.out >= manySilent) && d.stalled(now, h, j.Track) {
 			return d.recall(j)
 		}
 		d.lookAgain(now, j, min(last, now+d.step))
@@ -473,9 +474,9 @@
 }
 
 // stalled tells that a host has launches out and has not answered one for far longer than its role takes:
-// hung, cut off, or gone with the list still silent. Its first answer lifts it. A reader gets no new job
-// then, but a read is not recalled: mostly it has only queued, and read anew elsewhere it spoils that queue
-// too.
+// hung, cut off, or gone with the list still silent. Its first answer lifts it. A reader gets no new job,
+// but a read is recalled only where many are out: a few have mostly queued, and read anew elsewhere they
+// spoil that queue too.
 func (d *Dispatcher) stalled(now Nanos, h *host, track TrackID) bool {
 	usual := stallAgainst * max(d.usual[h.role], stallFloor) * float64(d.tracks[0].Expected)
 	return h.by[track].out > 0 && now-h.by[track].moved > Nanos(usual)+h.longest
