--- /dev/null
+++ b/internal/setup/setup.go
@@ -0,0 +1,250 @@
+package setup
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"docksail/policy"
+)
+
+// Dispatcher is what one dispatcher is told at its start.
+type Dispatcher struct {
+	Listen    netip.AddrPort `json:"listen" need:"an address and port, as \"127.0.0.1:7600\""`
+	SharePort bool           `json:"share_port"` // several processes may listen on it
+	Zone      string         `json:"zone"`
+	Number    int32          `json:"number"` // which of the dispatchers this one is, from 0
+	Count     int32          `json:"count"`  // how many there are
+	Seed      uint64         `json:"seed"`   // feeds all chance; 0 = taken from the clock
+	HashKey   uint64         `json:"hash_key"`
+	Fleet     Fleet          `json:"fleet" need:"where the list of engines comes from"`
+	Tracks    []Track        `json:"tracks" need:"a list of tracks"`
+	Tenants   []Tenant       `json:"tenants"`
+	Cold      Cold           `json:"cold_start" need:"what a host bears that has just started"`
+	Launches  Launches       `json:"launches"`
+	Answers   Answers        `json:"answers"`
+	Rules     Rules          `json:"rules" need:"the times of the rules"`
+	Limits    Limits         `json:"limits"`
+	Drain     time.Duration  `json:"drain_within"` // jobs in hand have so long after the signal to leave
+}
+
+// Fleet says where the list of engines comes from: a lister that is watched, or a file.
+type Fleet struct {
+	Watch netip.AddrPort `json:"watch"`
+	File  string         `json:"file"`
+	Retry time.Duration  `json:"ask_within"` // a lost list is asked for again several times in this
+}
+
+// Track is one class of jobs.
+type Track struct {
+	Name          string        `json:"name" need:"a name"`
+	Expected      time.Duration `json:"expected" need:"the time in which the first token is wanted"`
+	ExpectedPer1k time.Duration `json:"expected_per_1000_tokens"`
+	Patience      time.Duration `json:"patience" need:"the client's whole patience"`
+	Payoff        float64       `json:"payoff"`
+	LatePayoff    float64       `json:"late_payoff"`
+	TokenGap      time.Duration `json:"token_gap" need:"the time wanted between tokens"`
+	Effect        effect        `json:"effect" need:"redoable, labelled or irreversible"`
+	Group         group         `json:"group"`
+	Window        time.Duration `json:"window"`
+}
+
+// Tenant is one payer.
+type Tenant struct {
+	Name      string  `json:"name" need:"a name"`
+	PerSecond float64 `json:"jobs_per_second" need:"the jobs a second it is entitled to, over all dispatchers"`
+}
+
+// Cold is what hosts bear that have just started.
+type Cold struct {
+	From     float64       `json:"from" need:"the share of its capacity with which a host starts"`
+	Warm     time.Duration `json:"warm_after" need:"the time after which it is warm"`
+	Multiple float64       `json:"topples_at" need:"the multiple of what it can do that topples it"`
+	Window   time.Duration `json:"topples_over" need:"the time over which it topples it"`
+}
+
+// Launches bounds what is sent.
+type Launches struct {
+	Most        int32         `json:"most"`
+	Recall      bool          `json:"recall"`
+	WritersRead bool          `json:"writers_read"`
+	Connect     time.Duration `json:"connect_within"`
+}
+
+// Answers bounds final answers.
+type Answers struct {
+	Ahead     time.Duration `json:"ahead"` // answers leave so long before the client's time is up
+	Round     time.Duration `json:"round"`
+	Advice    bool          `json:"advice"`
+	MaxAdvice time.Duration `json:"most_advice"`
+}
+
+// Rules are the times that the rules name.
+type Rules struct {
+	Release time.Duration `json:"release_within" need:"the time in which what is held is taken or let go"`
+	Drain   time.Duration `json:"drain_grace"`
+}
+
+// Limits bound what the dispatcher holds. 0 stands for the usual.
+type Limits struct {
+	Jobs         int `json:"jobs"`          // in hand
+	Connections  int `json:"connections"`   // of clients
+	Streams      int `json:"streams"`       // on one connection
+	StreamWindow int `json:"stream_window"` // bytes an engine may be ahead of a client
+	Message      int `json:"message_bytes"`
+	Headers      int `json:"header_bytes"`
+	Prompt       int `json:"prompt_tokens"`
+	Output       int `json:"output_bytes"` // queued for one connection
+}
+
+type effect policy.Effect
+
+func (e *effect) UnmarshalText(b []byte) error {
+	i, err := oneOf(string(b), "redoable", "labelled", "irreversible")
+	*e = effect(i)
+	return err
+}
+
+type group policy.Group
+
+func (g *group) UnmarshalText(b []byte) error {
+	i, err := oneOf(string(b), "all", "zone", "cell")
+	*g = group(i)
+	return err
+}
+
+func oneOf(s string, names ...string) (int, error) {
+	for i, name := range names {
+		if s == name {
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("%q, want one of %s", s, strings.Join(names, ", "))
+}
+
+// Load reads a file. All that is wrong with it is told in one error, a line each.
+func Load(name string) (*Dispatcher, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(name, text)
+}
+
+// Parse reads settings; name stands for the file in errors.
+func Parse(name string, text []byte) (*Dispatcher, error) {
+	s := &Dispatcher{Count: 1, Launches: Launches{Most: 5, Recall: true, Connect: time.Second},
+		Answers: Answers{Ahead: 20 * time.Millisecond, Round: time.Millisecond, Advice: true, MaxAdvice: time.Minute},
+		Fleet:   Fleet{Retry: 4 * time.Second}, Rules: Rules{Drain: 500 * time.Millisecond}, Drain: 30 * time.Second,
+		Limits: Limits{Jobs: 20000, Connections: 20000, Streams: 10000, StreamWindow: 64 << 10, Message: 4 << 20,
+			Headers: 16 << 10, Prompt: 1 << 20, Output: 4 << 20}}
+	d := &decoder{name: name, text: text, lines: map[string]int{}}
+	d.decode(s)
+	if len(d.errs) == 0 {
+		s.check(d)
+	}
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Dispatcher) check(d *decoder) {
+	above := func(path string, v float64) {
+		if v <= 0 {
+			d.bad(path, "is %v, want more than 0", v)
+		}
+	}
+	if s.Count < 1 {
+		d.bad("count", "is %d, want 1 or more", s.Count)
+	} else if s.Number < 0 || s.Number >= s.Count {
+		d.bad("number", "is %d, want 0 to %d", s.Number, s.Count-1)
+	}
+	if s.Fleet.Watch.IsValid() == (s.Fleet.File != "") {
+		d.bad("fleet", "want either watch or file")
+	}
+	above("fleet.ask_within", float64(s.Fleet.Retry))
+	if len(s.Tracks) == 0 {
+		d.bad("tracks", "is empty, want one track or more")
+	}
+	names := map[string]bool{}
+	for i, t := range s.Tracks {
+		at := fmt.Sprintf("tracks[%d]", i)
+		if t.Name == "" || names["track "+t.Name] {
+			d.bad(at+".name", "%q is empty or stands twice, want a name of its own", t.Name)
+		}
+		names["track "+t.Name] = true
+		above(at+".expected", float64(t.Expected))
+		above(at+".token_gap", float64(t.TokenGap))
+		if t.Patience < t.Expected {
+			d.bad(at+".patience", "is %v, want at least the expected time, %v", t.Patience, t.Expected)
+		}
+		if policy.Effect(t.Effect) == policy.Labelled {
+			above(at+".window", float64(t.Window))
+		}
+	}
+	for i, t := range s.Tenants {
+		at := fmt.Sprintf("tenants[%d]", i)
+		if t.Name == "" || names["tenant "+t.Name] {
+			d.bad(at+".name", "%q is empty or stands twice, want a name of its own", t.Name)
+		}
+		names["tenant "+t.Name] = true
+		above(at+".jobs_per_second", t.PerSecond)
+	}
+	if s.Cold.From <= 0 || s.Cold.From > 1 {
+		d.bad("cold_start.from", "is %v, want more than 0 and at most 1", s.Cold.From)
+	}
+	if s.Cold.Multiple < 1 {
+		d.bad("cold_start.topples_at", "is %v, want 1 or more", s.Cold.Multiple)
+	}
+	above("cold_start.warm_after", float64(s.Cold.Warm))
+	above("cold_start.topples_over", float64(s.Cold.Window))
+	if s.Launches.Most < 2 {
+		d.bad("launches.most", "is %d, want 2 or more: one to read, one to write", s.Launches.Most)
+	}
+	above("launches.connect_within", float64(s.Launches.Connect))
+	above("rules.release_within", float64(s.Rules.Release))
+	above("answers.round", float64(s.Answers.Round))
+	if s.Answers.Ahead < 0 {
+		d.bad("answers.ahead", "is %v, want 0 or more", s.Answers.Ahead)
+	}
+	above("drain_within", float64(s.Drain))
+	for _, l := range []struct {
+		name string
+		n    int
+		low  int
+	}{{"jobs", s.Limits.Jobs, 1}, {"connections", s.Limits.Connections, 1}, {"streams", s.Limits.Streams, 1},
+		{"stream_window", s.Limits.StreamWindow, 1 << 10}, {"message_bytes", s.Limits.Message, 1 << 10},
+		{"header_bytes", s.Limits.Headers, 1 << 10}, {"prompt_tokens", s.Limits.Prompt, 1},
+		{"output_bytes", s.Limits.Output, 64 << 10}} {
+		if l.n < l.low || l.n > 1<<30 {
+			d.bad("limits."+l.name, "is %d, want %d to %d", l.n, l.low, 1<<30)
+		}
+	}
+}
+
+// Module starts the decision module that the settings describe. zone numbers the dispatcher's own zone; kinds of
+// host are the roles in their order.
+func (s *Dispatcher) Module(seed uint64, zone policy.ZoneID) (*policy.Dispatcher, error) {
+	var tracks []policy.Track
+	for _, t := range s.Tracks {
+		tracks = append(tracks, policy.Track{Expected: policy.Nanos(t.Expected),
+			ExpectedPer1k: policy.Nanos(t.ExpectedPer1k), Patience: policy.Nanos(t.Patience), Payoff: t.Payoff,
+			LatePayoff: t.LatePayoff, TokenGap: policy.Nanos(t.TokenGap), Effect: policy.Effect(t.Effect),
+			Group: policy.Group(t.Group), Window: policy.Nanos(t.Window)})
+	}
+	var tenants []policy.Tenant
+	for _, t := range s.Tenants {
+		tenants = append(tenants, policy.Tenant{PerSecond: t.PerSecond})
+	}
+	return policy.New(seed, policy.Place{Number: s.Number, Count: s.Count, Zone: zone}, tracks, tenants,
+		[]policy.Role{policy.Reader, policy.Writer, policy.Mixed},
+		policy.ColdStart{From: s.Cold.From, Warm: policy.Nanos(s.Cold.Warm), Multiple: s.Cold.Multiple,
+			Window: policy.Nanos(s.Cold.Window)},
+		policy.Launching{Most: s.Launches.Most, Recall: s.Launches.Recall, ReadAtPens: s.Launches.WritersRead},
+		policy.Answering{Slack: 0, Round: policy.Nanos(s.Answers.Round), Advice: s.Answers.Advice,
+			MaxAdvice: policy.Nanos(s.Answers.MaxAdvice)},
+		policy.Listing{Within: policy.Nanos(s.Fleet.Retry)}, policy.Nanos(s.Rules.Release))
+}
