--- a/internal/decide/flood/flood.go
+++ b/internal/decide/flood/flood.go
@@ -25,7 +25,7 @@
 // that resets as fast as it opens is let do so for one full set of streams.
 var burst = [acts]float64{Reset: 200, Ping: 20, Settings: 10, Empty: 200, Update: 2000, Fault: 50}
 var perSecond = [acts]float64{Reset: 100, Ping: 2, Settings: 1, Empty: 50, Update: 1000, Fault: 10}
-var perUse = [acts]float64{Reset: 0.5, Ping: 0.25, Settings: 0, Empty: 0.25, Update: 4, Fault: 0}
+var perUse = [acts]float64{Reset: 0.5, Ping: 1, Settings: 0, Empty: 0.25, Update: 4, Fault: 0}
 
 // Guard watches one connection. Its zero value is ready.
 type Guard struct {
@@ -33,7 +33,8 @@
 	at   int64         // allowances are filled up to then
 }
 
-// Used takes down useful work: a job's answer begun or ended, a frame with content.
+// Used takes down useful work: a frame with content, either way. Clients measure their link with a ping for what they
+// are sent, so each piece of an answer pays for one.
 func (g *Guard) Used() {
 	for a := range g.used {
 		g.used[a] = max(0, g.used[a]-perUse[a])
--- /dev/null
+++ b/internal/decide/gate/gate.go
@@ -0,0 +1,66 @@
+// Package gate decides whether a dispatcher takes a job at all, before its module sees it, and how jobs end that
+// are still in hand when the dispatcher has to go. It does no I/O and reads no clock.
+package gate
+
+// Cause says why a job is not taken.
+type Cause uint8
+
+const (
+	Taken    Cause = iota
+	Leaving        // the dispatcher drains
+	Full           // it has as many jobs in hand as it may
+	TooLong        // its prompt is longer than any may be
+	NoTime         // its time is up before an answer could leave
+	NoEngine       // no list of engines is known yet
+)
+
+func (c Cause) String() string {
+	return [...]string{"taken", "dispatcher drains", "too many jobs in hand", "prompt too long", "no time left",
+		"no engines known"}[c]
+}
+
+// Harmless tells that the job may be tried again as it is: the refusal is a nack with advice.
+func (c Cause) Harmless() bool { return c != TooLong }
+
+// Gate is the state of the dispatcher that counts here.
+type Gate struct {
+	Most    int   // jobs in hand
+	Prompt  int64 // tokens of a prompt
+	Leaving bool
+	Known   bool // a list of engines is known
+}
+
+// Take decides on a job. left is the client's time less what an answer needs to arrive; expected the job's
+// expected time. The advice is how long to stay away, in nanoseconds: half an expected time, about what a
+// burst's head takes to pass; a dispatcher that leaves advises none, as others take the job at once.
+func (g *Gate) Take(inHand int, prompt, left, expected int64) (Cause, int64) {
+	switch {
+	case prompt > g.Prompt:
+		return TooLong, 0
+	case g.Leaving:
+		return Leaving, 0
+	case left <= 0:
+		return NoTime, 0
+	case !g.Known:
+		return NoEngine, expected
+	case inHand >= g.Most:
+		return Full, expected / 2
+	}
+	return Taken, 0
+}
+
+// End is how a job ends that is in hand when the dispatcher's time to drain is up.
+type End uint8
+
+const (
+	Nacked    End = iota // it never ran: trying again is harmless
+	Abandoned            // it may have run
+)
+
+// AtEnd decides that end from whether any launch of the job was sent to a host that answers.
+func AtEnd(redoable, mayHaveRun bool) End {
+	if redoable || !mayHaveRun {
+		return Nacked
+	}
+	return Abandoned
+}
--- /dev/null
+++ b/internal/decide/links/links.go
@@ -0,0 +1,89 @@
+// Package links decides about a dispatcher's connections to one engine: which of them takes the next launch,
+// when another is made, when a silent one is asked for a sign of life and when it is given up. Whether the engine
+// is fit for work is the decision module's matter. It does no I/O and reads no clock.
+package links
+
+// Link is what is known of one connection. Times are nanoseconds on one clock.
+type Link struct {
+	Ready  bool  // made, and takes another stream
+	Making bool  // under way
+	Out    int   // launches on it
+	Heard  int64 // last sign of life
+	Asked  int64 // a ping is out since then; 0 = none
+	Used   int64 // last launch sent or ended
+}
+
+// most connections to one engine: a second where the engine allows few streams on one; more would only cost it.
+const most = 4
+
+// Pick chooses the connection for a launch: the ready one with fewest launches, else one under way, else a new
+// one. None, if all are full and there may be no more: the launch is not sent.
+func Pick(ls []Link) (i int, dial, none bool) {
+	best := -1
+	for i, l := range ls {
+		if l.Ready && (best < 0 || l.Out < ls[best].Out) {
+			best = i
+		}
+	}
+	if best >= 0 {
+		return best, false, false
+	}
+	for i, l := range ls {
+		if l.Making && (best < 0 || l.Out < ls[best].Out) {
+			best = i
+		}
+	}
+	switch {
+	case best >= 0:
+		return best, false, false
+	case len(ls) < most:
+		return -1, true, false
+	}
+	return -1, false, true
+}
+
+// Verdict is what to do with a connection.
+type Verdict uint8
+
+const (
+	Keep  Verdict = iota
+	Ask           // send a ping
+	Dead          // half open or cut off: give it up, its launches are broken
+	Spare         // unused for long: close it
+)
+
+// Keeper judges connections by the shortest expected time that the settings name.
+type Keeper struct{ Expected int64 }
+
+const (
+	askAfter   = 4  // of an expected time is a quarter: unheard for so long with launches out, it is asked
+	deadAfter  = 1  // expected time unheard after the ping: the network loses a packet or two in that
+	spareAfter = 60 // expected times unused
+)
+
+// Judge tells what to do with a connection now, and when to judge it again.
+func (k Keeper) Judge(now int64, l Link) (Verdict, int64) {
+	if l.Asked > 0 && l.Heard < l.Asked {
+		if at := l.Asked + deadAfter*k.Expected; now < at {
+			return Keep, at
+		}
+		return Dead, 0
+	}
+	if l.Out == 0 {
+		if at := l.Used + spareAfter*k.Expected; now < at {
+			return Keep, at
+		}
+		return Spare, 0
+	}
+	if at := max(l.Heard, l.Asked) + k.Expected/askAfter; now < at {
+		return Keep, at
+	}
+	return Ask, now + deadAfter*k.Expected
+}
+
+// late is the age, as a multiple of the expected time, from which on a load report counts as none: the module
+// itself uses a report for one expected time after it came.
+const late = 1
+
+// Fresh tells whether a load report of an age may be handed to the module.
+func (k Keeper) Fresh(age int64) bool { return age >= 0 && age < late*k.Expected }
--- /dev/null
+++ b/internal/decide/pace/pace.go
@@ -0,0 +1,59 @@
+// Package pace decides what becomes of an answer that has begun to stream: the module has handed it over by
+// then. It tells a writer that has fallen silent from one that is only slow and from a client that does not
+// read, and keeps the end of the client's time. It does no I/O and reads no clock.
+package pace
+
+// Verdict is what to do with a stream.
+type Verdict uint8
+
+const (
+	GoesOn  Verdict = iota
+	Silent          // its writer gives no more tokens: end it, the client is told that it is abandoned
+	Unread          // its client takes nothing: end it
+	TimeOut         // the client's time is nearly up: the final answer has to leave now
+)
+
+func (v Verdict) String() string {
+	return [...]string{"goes on", "writer silent", "client does not read", "time is up"}[v]
+}
+
+const (
+	// silentGaps is how many wanted gaps between tokens a writer may be silent: a batch that was held up by long
+	// reads or a preemption takes tens of gaps, a dead one for ever.
+	silentGaps = 60
+	// silentLeast is the same as a part of the job's expected time, where gaps are short: a writer that reads
+	// an answer anew after it ran out of memory needs about a first token's time.
+	silentLeast = 1
+	// unreadTimes is how many silences a client may take nothing: it pays for its own time only.
+	unreadTimes = 4
+)
+
+// Stream is what is known of one. Times are nanoseconds on one clock.
+type Stream struct {
+	Begun    int64 // its first token came
+	Last     int64 // its last token came
+	Gap      int64 // wanted between tokens
+	Expected int64 // expected time of its first token
+	Ends     int64 // the client's time is up; 0 = it has set none
+	Ahead    int64 // the final answer leaves so long before that
+	Unread   bool  // what came is still waiting for the client, since Last at least
+}
+
+// Judge tells what to do now, and when to judge again at the latest.
+func Judge(now int64, s Stream) (Verdict, int64) {
+	if s.Ends > 0 && now >= s.Ends-s.Ahead {
+		return TimeOut, 0
+	}
+	patience, verdict := max(silentGaps*s.Gap, silentLeast*s.Expected), Silent
+	if s.Unread {
+		patience, verdict = unreadTimes*patience, Unread
+	}
+	again := max(s.Begun, s.Last) + patience
+	if now >= again {
+		return verdict, 0
+	}
+	if s.Ends > 0 {
+		again = min(again, s.Ends-s.Ahead)
+	}
+	return GoesOn, again
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,524 @@
+// Package dispatch binds the loop, the wire and the decision module into one dispatcher: what happens on the
+// sockets is told to the module, and what the module decides is carried out on them. It decides nothing.
+package dispatch
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/net/http2"
+
+	"docksail/internal/decide/gate"
+	"docksail/internal/decide/links"
+	"docksail/internal/decide/pace"
+	front "docksail/internal/front/grpc"
+	"docksail/internal/h2"
+	"docksail/internal/loop"
+	"docksail/internal/setup"
+	"docksail/internal/state/fleet"
+	"docksail/internal/state/jobs"
+	"docksail/policy"
+)
+
+// Module is the decision module as the dispatcher calls it; a test may stand between.
+type Module interface {
+	ListBegin(full bool)
+	HostListed(id policy.HostID, zone policy.ZoneID, kind policy.KindID, cell policy.CellID,
+		health policy.Health, launched policy.Nanos)
+	ListEnd(now policy.Nanos)
+	ListFailed(now policy.Nanos)
+	JobArrived(now policy.Nanos, given policy.Job)
+	StreamBegan(now policy.Nanos, id policy.JobID, shot policy.Shot, elapsed policy.Nanos)
+	LaunchEnded(now policy.Nanos, id policy.JobID, shot policy.Shot, how policy.Outcome, elapsed policy.Nanos,
+		over bool, load policy.Load)
+	ClientLeft(now policy.Nanos, id policy.JobID)
+	Woken(now policy.Nanos)
+	Next(now policy.Nanos) (policy.Decision, bool)
+}
+
+// Dispatcher is one dispatcher on one loop. All of it belongs to the loop.
+type Dispatcher struct {
+	Counts Counts
+
+	l       *loop.Loop
+	log     *slog.Logger
+	mod     Module
+	clients *front.Server
+	gate    gate.Gate
+	keeper  links.Keeper
+	life    uint64 // this start of the dispatcher, in what engines are told
+	wall    int64  // module time at the loop's 0: Unix nanoseconds
+
+	jobs    jobs.Table[job]
+	engines map[policy.HostID]*engine
+	dirty   []*link
+	list    *fleet.List
+	lister  lister
+
+	tracks  map[string]policy.TrackID
+	tenants map[string]policy.TenantID
+	times   []trackTimes
+	hashKey uint64
+	hash    xxhash.Digest
+	ahead   int64
+	connect int64
+	lim     h2.Limits
+	wake    loop.Timer
+	onWake  func(loop.Nanos)
+	scratch []byte
+	facts   []links.Link
+
+	leaving  bool
+	leaveAt  loop.Timer
+	leaveEnd func()
+}
+
+type trackTimes struct {
+	expected, per1k, patience, gap int64
+	redoable                       bool
+}
+
+// Counts are what a dispatcher counted since its start.
+type Counts struct {
+	Jobs, Honoured, Nacked, Abandoned, Left, Refused uint64
+	Launches, Recalls, Late, Broken, Releases        uint64
+	Tokens                                           uint64 // messages relayed
+	LateReports, Reports                             uint64
+	Guarded                                          uint64 // decisions that the account of a job refused: faults of the program
+	Pings, DeadLinks                                 uint64
+}
+
+// job is one job in hand.
+type job struct {
+	jobs.Account
+	call    front.Call
+	raw     []byte // the client's message
+	track   policy.TrackID
+	repeat  uint32
+	trace   string
+	arrived loop.Nanos
+	ends    loop.Nanos // the call's own time is up; 0 = never
+	begun   loop.Nanos // the answer's first token came; 0 = not yet
+	last    loop.Nanos // its last token
+	waits   int        // bytes of the engine's window that wait for the client
+	ran     bool       // a launch was sent to a host that answers
+
+	on      *link      // where the launch that is out is
+	stream  *h2.Stream // nil while its connection is under way
+	host    policy.HostID
+	reads   bool // it is a read
+	sent    loop.Nanos
+	within  int64 // its time
+	timer   loop.Timer
+	onTimer func(loop.Nanos)
+	d       *Dispatcher
+}
+
+// New makes a dispatcher on a loop; Start sets it going. life must differ from one start to the next.
+func New(l *loop.Loop, s *setup.Dispatcher, log *slog.Logger, seed, life uint64, wrap func(Module) Module) (*Dispatcher, error) {
+	d := &Dispatcher{l: l, log: log, life: life, wall: l.Wall(), engines: make(map[policy.HostID]*engine),
+		list: fleet.New(), tracks: make(map[string]policy.TrackID), tenants: make(map[string]policy.TenantID),
+		hashKey: s.HashKey, ahead: int64(s.Answers.Ahead), connect: int64(s.Launches.Connect)}
+	mod, err := s.Module(seed, d.list.Zone(s.Zone))
+	if err != nil {
+		return nil, fmt.Errorf("decision module: %w", err)
+	}
+	if d.mod = mod; wrap != nil {
+		d.mod = wrap(mod)
+	}
+	shortest := int64(s.Tracks[0].Expected)
+	for i, t := range s.Tracks {
+		d.tracks[t.Name] = policy.TrackID(i)
+		d.times = append(d.times, trackTimes{int64(t.Expected), int64(t.ExpectedPer1k), int64(t.Patience),
+			int64(t.TokenGap), policy.Effect(t.Effect) == policy.Redoable})
+		shortest = min(shortest, int64(t.Expected))
+	}
+	for i, t := range s.Tenants {
+		d.tenants[t.Name] = policy.TenantID(i)
+	}
+	d.keeper = links.Keeper{Expected: shortest}
+	d.gate = gate.Gate{Most: s.Limits.Jobs, Prompt: int64(s.Limits.Prompt)}
+	d.lim = h2.Limits{Streams: uint32(s.Limits.Streams), StreamWindow: uint32(s.Limits.StreamWindow),
+		ConnWindow: h2.Usual.ConnWindow, HeaderBytes: uint32(s.Limits.Headers), MessageBytes: uint32(s.Limits.Message)}
+	d.onWake = func(now loop.Nanos) { d.mod.Woken(d.time(now)) }
+	d.clients = front.New(l, d, d.lim, s.Limits.Connections, s.Limits.Output)
+	d.lister.init(d, s.Fleet)
+	return d, nil
+}
+
+// Start listens for clients and asks for the list of engines; it gives the address it listens on.
+func (d *Dispatcher) Start(at netip.AddrPort, share bool) (netip.AddrPort, error) {
+	addr, err := d.clients.Listen(at, share)
+	if err != nil {
+		return addr, err
+	}
+	d.lister.start()
+	return addr, nil
+}
+
+// Round is what the loop calls once a turn: decisions are pulled until there is none, then output is queued.
+func (d *Dispatcher) Round(now loop.Nanos) {
+	for {
+		what, ok := d.mod.Next(d.time(now))
+		if !ok {
+			break
+		}
+		d.do(now, what)
+	}
+	d.clients.Flush()
+	for _, k := range d.dirty {
+		k.dirty = false
+		k.flush()
+	}
+	d.dirty = d.dirty[:0]
+	if d.leaving && d.jobs.Len() == 0 && d.clients.Idle() {
+		d.leaveEnd()
+	}
+}
+
+// InHand counts jobs in hand, Clients open connections of clients.
+func (d *Dispatcher) InHand() int { return d.jobs.Len() }
+
+// Clients counts open connections of clients.
+func (d *Dispatcher) Clients() int { return d.clients.Conns() }
+
+// time is the module's: Unix nanoseconds by the loop's clock, so that hosts' starts compare with it.
+func (d *Dispatcher) time(now loop.Nanos) policy.Nanos { return policy.Nanos(d.wall + now) }
+
+// Leave drains: no new clients or jobs; those in hand have so long to end; then done is called, once.
+func (d *Dispatcher) Leave(within int64, done func()) {
+	if d.leaving {
+		return
+	}
+	d.leaving, d.gate.Leaving = true, true
+	d.leaveEnd = func() {
+		d.l.Cancel(&d.leaveAt)
+		d.leaveEnd = func() {}
+		done()
+	}
+	d.log.Info("draining", "jobs", d.jobs.Len(), "within_ms", within/1e6)
+	d.clients.Leave()
+	d.l.At(&d.leaveAt, d.l.Now()+within, func(now loop.Nanos) {
+		d.log.Warn("drain time is up", "jobs", d.jobs.Len())
+		d.jobs.Each(func(_ policy.JobID, j *job) {
+			if j.Answered() {
+				return
+			}
+			if gate.AtEnd(d.times[j.track].redoable && j.begun == 0, j.ran) == gate.Nacked {
+				d.answer(j, func() { j.call.Nack(j.ID, 0, "dispatcher leaves") }, &d.Counts.Nacked)
+			} else {
+				d.answer(j, func() { j.call.Abandon(j.ID, "dispatcher leaves") }, &d.Counts.Abandoned)
+			}
+			d.left(now, j)
+		})
+		d.l.At(&d.leaveAt, now+int64(d.ahead), func(loop.Nanos) { d.leaveEnd() })
+	})
+}
+
+// key hashes a name under the settings' key and its owner, the same at every dispatcher; 0 stands for no name.
+func (d *Dispatcher) key(kind byte, owner policy.TenantID, name []byte) uint64 {
+	if len(name) == 0 {
+		return 0
+	}
+	d.hash.ResetWithSeed(d.hashKey)
+	d.hash.Write([]byte{kind, byte(owner), byte(owner >> 8), byte(owner >> 16), byte(owner >> 24)})
+	d.hash.Write(name)
+	return max(d.hash.Sum64(), 1)
+}
+
+// name is a job's for the outside: the dispatcher's life and the job, unique over dispatchers and restarts.
+func (d *Dispatcher) name(id policy.JobID) string {
+	var b [33]byte
+	return string(strconv.AppendUint(append(strconv.AppendUint(b[:0], d.life, 16), '.'), uint64(id), 16))
+}
+
+// Name implements the door's core.
+func (d *Dispatcher) Name(id policy.JobID) string { return d.name(id) }
+
+// ---- What clients do.
+
+// Arrive takes a job from the door.
+func (d *Dispatcher) Arrive(now loop.Nanos, call front.Call, r *front.Request) (policy.JobID, error) {
+	track, ok := d.tracks[string(r.Track)]
+	if !ok {
+		return 0, fmt.Errorf("track %q is unknown: %w", r.Track, front.ErrBad)
+	}
+	tenant := policy.TenantID(-1)
+	if len(d.tenants) > 0 {
+		if tenant, ok = d.tenants[string(r.Tenant)]; !ok {
+			return 0, fmt.Errorf("tenant %q is unknown: %w", r.Tenant, front.ErrBad)
+		}
+	}
+	t := &d.times[track]
+	left := t.patience
+	if r.Patience > 0 {
+		left = min(left, r.Patience)
+	}
+	if r.Timeout > 0 {
+		left = min(left, r.Timeout)
+	}
+	left -= d.ahead
+	cause, after := d.gate.Take(d.jobs.Len(), r.Prompt, left, t.expected+t.per1k*r.Prompt/1000)
+	if cause != gate.Taken {
+		d.Counts.Refused++
+		if cause.Harmless() {
+			return 0, front.Refusal{Why: cause.String(), After: after}
+		}
+		return 0, fmt.Errorf("%s, %d tokens of at most %d: %w", cause, r.Prompt, d.gate.Prompt, front.ErrBad)
+	}
+	d.Counts.Jobs++
+	id, j := d.jobs.Add()
+	*j = job{Account: jobs.Account{ID: id}, call: call, raw: append(j.raw[:0], r.Raw...), track: track,
+		repeat: uint32(r.Repeat), trace: r.Trace, arrived: now, timer: j.timer, onTimer: j.onTimer, d: d}
+	if j.onTimer == nil {
+		j.onTimer = j.due
+	}
+	if r.Timeout > 0 {
+		j.ends = now + r.Timeout
+	}
+	d.mod.JobArrived(d.time(now), policy.Job{ID: id, Track: track, Tenant: tenant,
+		Session: policy.SessionKey(d.key('s', tenant, r.Session)),
+		Prefix:  policy.PrefixKey(d.key('b', tenant, r.Beginning)),
+		Prompt:  r.Prompt, Shared: r.Shared, Cap: r.Most, Deadline: d.time(now + left), Hint: policy.Nanos(r.Hint),
+		Repeat: r.Repeat > 0})
+	return id, nil
+}
+
+// Left tells that a client is gone.
+func (d *Dispatcher) Left(now loop.Nanos, id policy.JobID) {
+	if j := d.jobs.Find(id); j != nil && !j.Answered() {
+		d.answer(j, func() {}, &d.Counts.Left)
+		d.left(now, j)
+	}
+}
+
+// left tells the module that nothing more is owed, and ends a stream that nobody reads.
+func (d *Dispatcher) left(now loop.Nanos, j *job) {
+	d.mod.ClientLeft(d.time(now), j.ID)
+	if j.begun > 0 {
+		d.ended(now, j, policy.Recalled, true, policy.NoLoad)
+	}
+	d.settle(j)
+}
+
+// Room lets an engine go on that was held back for its client.
+func (d *Dispatcher) Room(now loop.Nanos, id policy.JobID) {
+	j := d.jobs.Find(id)
+	if j == nil || j.waits == 0 || j.stream == nil {
+		return
+	}
+	j.stream.Credit(j.waits)
+	j.waits, j.last = 0, now
+	j.on.touch()
+	d.l.Again()
+}
+
+// answer gives a job its final answer, if it has none yet.
+func (d *Dispatcher) answer(j *job, give func(), count *uint64) {
+	if err := j.Answer(); err != nil {
+		d.Counts.Guarded++
+		d.log.Error("decision refused", "job", j.ID, "err", err)
+		return
+	}
+	give()
+	j.call = front.Call{}
+	*count++
+}
+
+// settle frees the place of a job for which nothing is owed, out or held.
+func (d *Dispatcher) settle(j *job) {
+	if j.Done() {
+		d.l.Cancel(&j.timer)
+		d.jobs.Drop(j.ID)
+	}
+}
+
+// ---- What the module decides.
+
+func (d *Dispatcher) do(now loop.Nanos, what policy.Decision) {
+	switch what.Verb {
+	case policy.Wake:
+		d.l.At(&d.wake, now+loop.Nanos(what.For), d.onWake)
+		return
+	case policy.Watch:
+		d.lister.watch(now)
+		return
+	case policy.Say:
+		d.log.Info("module", "says", what.Text)
+		return
+	}
+	j := d.jobs.Find(what.Job)
+	if j == nil {
+		d.Counts.Guarded++
+		d.log.Error("decision about a job that is over", "job", what.Job, "verb", int(what.Verb))
+		return
+	}
+	switch what.Verb {
+	case policy.Launch:
+		d.launch(now, j, what.Host, int64(what.For))
+	case policy.Recall:
+		if shot, out := j.Out(); out && shot == what.Shot {
+			d.Counts.Recalls++
+			d.ended(now, j, policy.Recalled, false, policy.NoLoad)
+		}
+	case policy.Nack:
+		d.answer(j, func() { j.call.Nack(j.ID, loop.Nanos(what.For), "no engine could take it in time") }, &d.Counts.Nacked)
+	case policy.Abandon:
+		d.answer(j, func() { j.call.Abandon(j.ID, "its time is up") }, &d.Counts.Abandoned)
+	case policy.LetGo:
+		if at, held := j.Held(); held {
+			j.LetGo()
+			d.release(j, at)
+		}
+	default:
+		panic(fmt.Sprintf("decision with unknown verb %d", what.Verb))
+	}
+	d.settle(j)
+}
+
+// launch sends a job to a host.
+func (d *Dispatcher) launch(now loop.Nanos, j *job, to policy.HostID, within int64) {
+	shot, err := j.Launch()
+	if err != nil {
+		d.Counts.Guarded++
+		d.log.Error("launch refused", "job", j.ID, "host", to, "err", err)
+		return
+	}
+	d.Counts.Launches++
+	j.host, j.sent, j.within, j.on, j.stream = to, now, within, nil, nil
+	e := d.engines[to]
+	if e == nil {
+		d.ended(now, j, policy.NotSent, false, policy.NoLoad)
+		return
+	}
+	j.reads = e.role == policy.Reader
+	j.ran = j.ran || !j.reads
+	d.l.At(&j.timer, now+within, j.onTimer)
+	k := e.linkFor(now)
+	if k == nil {
+		d.ended(now, j, policy.NotSent, false, policy.NoLoad)
+		return
+	}
+	j.on = k
+	k.out++
+	k.used = now
+	if k.ready {
+		k.send(now, j, shot)
+	} else {
+		k.queue = append(k.queue, j.ID)
+	}
+}
+
+// due is the timer of a job: its launch's time, or, once the answer streams, the time to look at it.
+func (j *job) due(now loop.Nanos) {
+	d := j.d
+	if j.begun == 0 {
+		if _, out := j.Out(); out {
+			d.Counts.Late++
+			how := policy.Late
+			if j.stream == nil { // its connection was never made
+				how = policy.Unreachable
+			}
+			d.ended(now, j, how, false, policy.NoLoad)
+			d.settle(j)
+		}
+		return
+	}
+	d.watchStream(now, j)
+}
+
+// watchStream has the pace of a running answer judged.
+func (d *Dispatcher) watchStream(now loop.Nanos, j *job) {
+	t := &d.times[j.track]
+	verdict, again := pace.Judge(now, pace.Stream{Begun: j.begun, Last: j.last, Gap: t.gap, Expected: t.expected,
+		Ends: j.ends, Ahead: d.ahead, Unread: j.waits > 0})
+	if verdict == pace.GoesOn {
+		d.l.At(&j.timer, again, j.onTimer)
+		return
+	}
+	if !j.Answered() {
+		d.answer(j, func() { j.call.Abandon(j.ID, verdict.String()) }, &d.Counts.Abandoned)
+	}
+	how := policy.Late
+	if verdict == pace.Unread {
+		how = policy.Recalled
+	}
+	d.ended(now, j, how, true, policy.NoLoad)
+	d.settle(j)
+}
+
+// ---- How launches go.
+
+// began tells of the first token.
+func (d *Dispatcher) began(now loop.Nanos, j *job) {
+	shot, _ := j.Out()
+	j.begun, j.last = now, now
+	j.LetGo()
+	d.mod.StreamBegan(d.time(now), j.ID, shot, policy.Nanos(now-j.sent))
+	d.watchStream(now, j)
+}
+
+// ended tells how the launch that is out has ended; where the engine has not ended it, its stream is reset
+// first, so that it is no longer out. The job may be over by this.
+func (d *Dispatcher) ended(now loop.Nanos, j *job, how policy.Outcome, over bool, load policy.Load) {
+	shot, out := j.Out()
+	if !out {
+		return
+	}
+	if j.stream != nil {
+		j.stream.Ref = 0
+		j.stream.Reset(http2.ErrCodeCancel)
+	}
+	d.l.Cancel(&j.timer)
+	if k := j.on; k != nil {
+		k.out--
+		k.used = now
+		k.touch()
+	}
+	on, cut := j.on, j.stream != nil && j.reads && how != policy.Read
+	j.on, j.stream, j.waits = nil, nil, 0
+	j.End(shot)
+	switch how {
+	case policy.Read:
+		j.Hold(j.host)
+	case policy.Broken:
+		d.Counts.Broken++
+	}
+	if cut { // the read may have ended while this crossed with it: what it left is let go
+		d.Counts.Releases++
+		on.sendRelease(j.ID, shot)
+	}
+	d.mod.LaunchEnded(d.time(now), j.ID, shot, how, policy.Nanos(now-j.sent), over || j.Answered(), load)
+}
+
+// release lets go of what a host holds for a job.
+func (d *Dispatcher) release(j *job, at policy.HostID) {
+	d.Counts.Releases++
+	if e := d.engines[at]; e != nil {
+		if k := e.readyLink(); k != nil {
+			k.sendRelease(j.ID, policy.Shot(j.Launches()-1))
+		}
+	}
+}
+
+// Door gives what the clients' door counted.
+func (d *Dispatcher) Door() front.Counts { return d.clients.Counts }
+
+// Known tells that a list of engines is known.
+func (d *Dispatcher) Known() bool { return d.gate.Known }
+
+// Add adds up counts.
+func (c *Counts) Add(o Counts) {
+	for _, f := range []struct {
+		to   *uint64
+		from uint64
+	}{{&c.Jobs, o.Jobs}, {&c.Honoured, o.Honoured}, {&c.Nacked, o.Nacked}, {&c.Abandoned, o.Abandoned}, {&c.Left, o.Left},
+		{&c.Refused, o.Refused}, {&c.Launches, o.Launches}, {&c.Recalls, o.Recalls}, {&c.Late, o.Late}, {&c.Broken, o.Broken},
+		{&c.Releases, o.Releases}, {&c.Tokens, o.Tokens}, {&c.LateReports, o.LateReports}, {&c.Reports, o.Reports},
+		{&c.Guarded, o.Guarded}, {&c.Pings, o.Pings}, {&c.DeadLinks, o.DeadLinks}} {
+		*f.to += f.from
+	}
+}
--- /dev/null
+++ b/internal/dispatch/link.go
@@ -0,0 +1,413 @@
+package dispatch
+
+import (
+	"encoding/base64"
+	"net/netip"
+	"strconv"
+
+	orca "github.com/cncf/xds/go/xds/data/orca/v3"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"docksail/internal/decide/links"
+	"docksail/internal/h2"
+	"docksail/internal/loop"
+	"docksail/policy"
+)
+
+const (
+	pathRead    = "/docksail.v1.Engine/Read"
+	pathWrite   = "/docksail.v1.Engine/Write"
+	pathRelease = "/docksail.v1.Engine/Release"
+	pathWatch   = "/docksail.v1.Fleet/Watch"
+
+	busyOutput = 256 << 10 // bytes queued for a socket from which on messages wait in their streams
+	linkOutput = 32 << 20  // at which a connection to an engine that takes nothing is given up
+)
+
+// engine is a host of the list and the connections to it.
+type engine struct {
+	d     *Dispatcher
+	id    policy.HostID
+	addr  netip.AddrPort
+	name  string // its address, as :authority has it
+	role  policy.Role
+	links []*link
+}
+
+// linkFor gives the connection for a launch; nil if there may be none.
+func (e *engine) linkFor(now loop.Nanos) *link {
+	d := e.d
+	d.facts = d.facts[:0]
+	for _, k := range e.links {
+		d.facts = append(d.facts, k.facts())
+	}
+	i, dial, none := links.Pick(d.facts)
+	switch {
+	case none:
+		return nil
+	case !dial:
+		return e.links[i]
+	}
+	k := &link{d: d, e: e, heard: now, used: now}
+	k.onKeep = k.keep
+	k.h = h2.NewClient(d.lim, k)
+	lc, err := d.l.Dial(e.addr, d.connect, k)
+	if err != nil {
+		d.log.Warn("engine", "host", e.id, "err", err)
+		return nil
+	}
+	k.lc = lc
+	lc.Bound(linkOutput)
+	e.links = append(e.links, k)
+	return k
+}
+
+func (e *engine) readyLink() *link {
+	for _, k := range e.links {
+		if k.ready && !k.past && k.h.CanOpen() {
+			return k
+		}
+	}
+	return nil
+}
+
+// link is one connection to an engine.
+type link struct {
+	d      *Dispatcher
+	e      *engine
+	lc     *loop.Conn
+	h      *h2.Conn
+	ready  bool
+	gone   bool
+	past   bool // its engine has moved: no more launches
+	dirty  bool
+	out    int
+	queue  []policy.JobID // launches that wait for the connection
+	now    loop.Nanos
+	heard  loop.Nanos
+	asked  loop.Nanos
+	used   loop.Nanos
+	timer  loop.Timer
+	onKeep func(loop.Nanos)
+}
+
+func (k *link) facts() links.Link {
+	return links.Link{Ready: k.ready && !k.past && k.h.CanOpen(), Making: !k.ready && !k.gone && !k.past, Out: k.out, Heard: k.heard,
+		Asked: k.asked, Used: k.used}
+}
+
+func (k *link) touch() {
+	if !k.dirty && !k.gone {
+		k.dirty = true
+		k.d.dirty = append(k.d.dirty, k)
+	}
+}
+
+func (k *link) flush() {
+	if k.gone {
+		return
+	}
+	if k.ready && k.h.Waiting() {
+		k.lc.Write(k.h.Take())
+	}
+	if k.h.Over() != nil {
+		k.lc.CloseSoon()
+	} else if k.lc.Queued() > busyOutput {
+		k.h.Congested(true)
+	}
+}
+
+// keep has the connection judged.
+func (k *link) keep(now loop.Nanos) {
+	if k.gone {
+		return
+	}
+	verdict, again := k.d.keeper.Judge(now, k.facts())
+	switch verdict {
+	case links.Ask:
+		k.d.Counts.Pings++
+		k.asked = now
+		k.h.Ping()
+		k.touch()
+	case links.Dead:
+		k.d.Counts.DeadLinks++
+		k.d.log.Warn("engine does not answer a ping", "host", k.e.id, "launches", k.out)
+		k.lc.Close()
+		return
+	case links.Spare:
+		k.lc.Close()
+		return
+	}
+	k.d.l.At(&k.timer, again, k.onKeep)
+}
+
+// ---- What the loop tells.
+
+func (k *link) Opened(now loop.Nanos) {
+	k.now, k.ready, k.heard = now, true, now
+	queue := k.queue
+	k.queue = nil
+	for _, id := range queue {
+		if j := k.d.jobs.Find(id); j != nil && j.on == k && j.stream == nil {
+			if shot, out := j.Out(); out {
+				if !k.h.CanOpen() {
+					k.d.ended(now, j, policy.NotSent, false, policy.NoLoad)
+					continue
+				}
+				k.send(now, j, shot)
+			}
+		}
+	}
+	k.touch()
+	k.d.l.At(&k.timer, now+k.d.keeper.Expected, k.onKeep)
+}
+
+func (k *link) Data(now loop.Nanos, p []byte) {
+	k.now, k.heard = now, now
+	k.h.Feed(now, p)
+	k.touch()
+}
+
+func (k *link) PeerDone(loop.Nanos) { k.lc.Close() }
+
+func (k *link) Drained(now loop.Nanos) {
+	k.now = now
+	k.h.Congested(false)
+	k.flush()
+}
+
+func (k *link) Closed(now loop.Nanos, err error) {
+	k.now, k.gone = now, true
+	d := k.d
+	d.l.Cancel(&k.timer)
+	for i, other := range k.e.links {
+		if other == k {
+			k.e.links = append(k.e.links[:i], k.e.links[i+1:]...)
+			break
+		}
+	}
+	if !k.ready {
+		d.log.Info("engine not reached", "host", k.e.id, "err", err)
+		queue := k.queue
+		k.queue = nil
+		for _, id := range queue {
+			if j := d.jobs.Find(id); j != nil && j.on == k {
+				d.ended(now, j, policy.Unreachable, false, policy.NoLoad)
+				d.settle(j)
+			}
+		}
+	}
+	k.ready = false
+	k.h.Lost()
+}
+
+// ---- What is sent.
+
+// send opens the stream of a launch.
+func (k *link) send(now loop.Nanos, j *job, shot policy.Shot) {
+	d := k.d
+	path, timeout := pathWrite, int64(0)
+	if j.reads {
+		path, timeout = pathRead, max(j.within-(now-j.sent), 1)
+	}
+	extra := [3]hpack.HeaderField{
+		{Name: "docksail-job", Value: d.name(j.ID), Sensitive: true},
+		{Name: "docksail-shot", Value: strconv.Itoa(int(shot))}}
+	n := 2
+	if j.trace != "" {
+		extra[2] = hpack.HeaderField{Name: "traceparent", Value: j.trace, Sensitive: true}
+		n = 3
+	}
+	s := k.h.OpenStream(path, k.e.name, timeout, extra[:n]...)
+	b := d.scratch[:0]
+	b = protowire.AppendTag(b, 1, protowire.VarintType)
+	b = protowire.AppendVarint(b, d.life)
+	b = protowire.AppendTag(b, 2, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(j.ID))
+	b = protowire.AppendTag(b, 3, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(shot))
+	b = protowire.AppendTag(b, 4, protowire.BytesType)
+	b = protowire.AppendBytes(b, j.raw)
+	if at, held := j.Held(); held && !j.reads {
+		if e := d.engines[at]; e != nil {
+			b = protowire.AppendTag(b, 5, protowire.BytesType)
+			b = protowire.AppendString(b, e.name)
+		}
+	}
+	b = protowire.AppendTag(b, 6, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(max(j.within-(now-j.sent), 1)))
+	if j.repeat > 0 {
+		b = protowire.AppendTag(b, 7, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(j.repeat))
+	}
+	d.scratch = b
+	s.Ref = uint64(j.ID)
+	s.Send(b, true)
+	j.stream = s
+	k.touch()
+}
+
+// sendRelease lets go of what a host holds. Nothing waits for the answer: if it is lost with its connection, the
+// engine lets go by its own time.
+func (k *link) sendRelease(id policy.JobID, shot policy.Shot) {
+	if !k.h.CanOpen() {
+		return
+	}
+	s := k.h.OpenStream(pathRelease, k.e.name, k.d.keeper.Expected)
+	b := k.d.scratch[:0]
+	b = protowire.AppendTag(b, 1, protowire.VarintType)
+	b = protowire.AppendVarint(b, k.d.life)
+	b = protowire.AppendTag(b, 2, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(id))
+	b = protowire.AppendTag(b, 3, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(shot))
+	k.d.scratch = b
+	s.Send(b, true)
+	k.touch()
+}
+
+// ---- What HTTP/2 tells.
+
+// job of a stream, if the stream is still its launch.
+func (k *link) job(s *h2.Stream) *job {
+	if s.Ref == 0 {
+		return nil
+	}
+	if j := k.d.jobs.Find(policy.JobID(s.Ref)); j != nil && j.stream == s {
+		return j
+	}
+	return nil
+}
+
+func (k *link) Headers(*h2.Stream, *h2.Header) {}
+
+func (k *link) Message(s *h2.Stream, p []byte) bool {
+	j := k.job(s)
+	if j == nil || j.reads {
+		return false
+	}
+	if j.Answered() { // its client was gone as this came: nobody reads it
+		k.d.ended(k.now, j, policy.Recalled, true, policy.NoLoad)
+		k.d.settle(j)
+		return false
+	}
+	if j.begun == 0 {
+		k.d.began(k.now, j)
+	}
+	j.last = k.now
+	k.d.Counts.Tokens++
+	if !j.call.Tokens(j.ID, p) {
+		return false
+	}
+	j.waits += len(p) + 5
+	return true
+}
+
+func (k *link) HalfClosed(*h2.Stream) {}
+
+func (k *link) Finished(s *h2.Stream, code codes.Code, _ string, trailer *h2.Header) {
+	j := k.job(s)
+	if j == nil {
+		return
+	}
+	d := k.d
+	s.Ref = 0
+	j.stream = nil // it is over by itself
+	load := d.load(trailer)
+	read, begun := j.reads, j.begun > 0
+	_, held := j.Held()
+	how := policy.Failed
+	switch {
+	case code == codes.OK && read:
+		how = policy.Read
+	case code == codes.OK:
+		how = policy.Honoured
+		if !j.Answered() {
+			d.answer(j, func() { j.call.Honour(j.ID) }, &d.Counts.Honoured)
+		}
+	case begun:
+		how = policy.Broken
+		if !j.Answered() {
+			d.answer(j, func() { j.call.Abandon(j.ID, "the stream broke: "+code.String()) }, &d.Counts.Abandoned)
+		}
+	case code == codes.ResourceExhausted:
+		how = policy.Turned
+	case code == codes.FailedPrecondition && held:
+		how = policy.Stateless
+	case code == codes.DeadlineExceeded:
+		how = policy.Late
+	}
+	d.ended(k.now, j, how, how == policy.Honoured || begun, load)
+	d.settle(j)
+	k.touch()
+}
+
+func (k *link) Reset(s *h2.Stream, _ http2.ErrCode, refused bool) {
+	j := k.job(s)
+	if j == nil {
+		return
+	}
+	d := k.d
+	s.Ref = 0
+	j.stream = nil
+	how := policy.Broken
+	if refused { // nothing was done for it
+		how = policy.Turned
+	}
+	begun := j.begun > 0
+	if begun && !j.Answered() {
+		d.answer(j, func() { j.call.Abandon(j.ID, "the stream broke") }, &d.Counts.Abandoned)
+	}
+	d.ended(k.now, j, how, begun, policy.NoLoad)
+	d.settle(j)
+}
+
+func (k *link) Room(*h2.Stream) {}
+
+// GoingAway: the engine wants no more on this connection; what runs on it ends there.
+func (k *link) GoingAway() { k.touch() }
+
+func (k *link) Pong() { k.asked = 0 }
+
+// load reads an ORCA report from a trailer; one that is too old counts as none.
+func (d *Dispatcher) load(trailer *h2.Header) policy.Load {
+	text := trailer.Get("endpoint-load-metrics-bin")
+	if text == "" {
+		return policy.NoLoad
+	}
+	b, err := base64.RawStdEncoding.DecodeString(trimPadding(text))
+	if err != nil {
+		return policy.NoLoad
+	}
+	var r orca.OrcaLoadReport
+	if proto.Unmarshal(b, &r) != nil {
+		return policy.NoLoad
+	}
+	d.Counts.Reports++
+	load := policy.NoLoad
+	if r.MemUtilization > 0 {
+		load.Memory = r.MemUtilization
+	}
+	if v, ok := r.NamedMetrics["requests"]; ok {
+		load.Requests = v
+	}
+	if v, ok := r.NamedMetrics["unread_tokens"]; ok {
+		load.Unread = v
+	}
+	if age, ok := r.NamedMetrics["age_ms"]; ok && !d.keeper.Fresh(int64(age*1e6)) {
+		d.Counts.LateReports++
+		return policy.NoLoad
+	}
+	return load
+}
+
+func trimPadding(s string) string {
+	for len(s) > 0 && s[len(s)-1] == '=' {
+		s = s[:len(s)-1]
+	}
+	return s
+}
--- /dev/null
+++ b/internal/front/grpc/grpc.go
@@ -0,0 +1,366 @@
+// Package grpc is the door for clients that speak gRPC: it decodes a call, asks the core and gives the answer
+// in gRPC's words. It reaches no engine and decides nothing.
+package grpc
+
+import (
+	"encoding/base64"
+	"errors"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/genproto/googleapis/rpc/status"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"docksail/internal/h2"
+	"docksail/internal/loop"
+	"docksail/policy"
+)
+
+// ErrBad is wrapped by the core's errors about a request that can never be taken as it is.
+var ErrBad = errors.New("request cannot be taken")
+
+// Core is what stands behind the door.
+type Core interface {
+	// Arrive hands over a job. The request's slices are valid during the call only. An error that wraps ErrBad
+	// is the caller's fault; a Refusal is a nack.
+	Arrive(now loop.Nanos, call Call, r *Request) (policy.JobID, error)
+	// Left tells that the client of a job is gone.
+	Left(now loop.Nanos, id policy.JobID)
+	// Name is a job's for the outside.
+	Name(id policy.JobID) string
+	// Room tells that all that was sent to the client has left.
+	Room(now loop.Nanos, id policy.JobID)
+}
+
+// Refusal is an error that says when to come back.
+type Refusal struct {
+	Why   string
+	After loop.Nanos // 0 = at once, elsewhere
+}
+
+func (r Refusal) Error() string { return r.Why }
+
+const (
+	busyOutput  = 256 << 10 // bytes queued for a socket from which on messages wait in their streams
+	greetWithin = int64(10 * time.Second)
+	generate    = "/docksail.v1.Generation/Generate"
+)
+
+// Server accepts clients on a loop.
+type Server struct {
+	l       *loop.Loop
+	core    Core
+	lim     h2.Limits
+	most    int // connections
+	output  int // bytes queued for one
+	conns   map[*conn]struct{}
+	dirty   []*conn
+	ln      *loop.Listener
+	leaving bool
+	req     Request
+	Counts  Counts
+}
+
+// Counts are what the door counted since its start.
+type Counts struct {
+	Accepted, TurnedAway, Calls, Bad, Overflows uint64
+}
+
+// New makes a door; it opens with Listen.
+func New(l *loop.Loop, core Core, lim h2.Limits, connections, output int) *Server {
+	return &Server{l: l, core: core, lim: lim, most: connections, output: output, conns: make(map[*conn]struct{})}
+}
+
+// Listen opens the door.
+func (s *Server) Listen(at netip.AddrPort, share bool) (netip.AddrPort, error) {
+	ln, err := s.l.Listen(at, share, s.accept)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	s.ln = ln
+	return ln.Addr(), nil
+}
+
+// Conns counts open connections.
+func (s *Server) Conns() int { return len(s.conns) }
+
+// Leave closes the door: no new connections, no new streams on those there are.
+func (s *Server) Leave() {
+	s.leaving = true
+	s.ln.Close()
+	for c := range s.conns {
+		c.h.Each(func(st *h2.Stream) {
+			if a, ok := st.Tag.(*aside); ok && a.path == healthWatch {
+				send(st, &grpc_health_v1.HealthCheckResponse{Status: grpc_health_v1.HealthCheckResponse_NOT_SERVING})
+			}
+		})
+		c.h.Leave()
+		c.touch()
+	}
+}
+
+// Flush queues on the sockets what has come together in this turn.
+func (s *Server) Flush() {
+	for _, c := range s.dirty {
+		c.dirty = false
+		c.flush()
+	}
+	s.dirty = s.dirty[:0]
+}
+
+// Idle tells that no connection has output waiting.
+func (s *Server) Idle() bool {
+	for c := range s.conns {
+		if c.h.Open() > 0 || c.lc.Queued() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) accept(lc *loop.Conn, _ netip.AddrPort) loop.Handler {
+	if len(s.conns) >= s.most {
+		s.Counts.TurnedAway++
+		return nil
+	}
+	s.Counts.Accepted++
+	c := &conn{s: s, lc: lc}
+	c.h = h2.NewServer(s.lim, c)
+	lc.Bound(s.output)
+	s.conns[c] = struct{}{}
+	return c
+}
+
+// conn is one client's connection.
+type conn struct {
+	s     *Server
+	lc    *loop.Conn
+	h     *h2.Conn
+	now   loop.Nanos
+	dirty bool
+	heard bool
+	greet loop.Timer
+}
+
+func (c *conn) touch() {
+	if !c.dirty {
+		c.dirty = true
+		c.s.dirty = append(c.s.dirty, c)
+	}
+}
+
+func (c *conn) Opened(now loop.Nanos) {
+	c.s.l.At(&c.greet, now+greetWithin, func(loop.Nanos) { c.lc.Close() })
+	c.touch()
+}
+
+func (c *conn) Data(now loop.Nanos, p []byte) {
+	c.now = now
+	if !c.heard {
+		c.heard = true
+		c.s.l.Cancel(&c.greet)
+	}
+	c.h.Feed(now, p)
+	c.touch()
+}
+
+func (c *conn) PeerDone(loop.Nanos) { c.lc.Close() } // HTTP/2 has no use for half a connection
+
+func (c *conn) Drained(now loop.Nanos) {
+	c.now = now
+	c.h.Congested(false)
+	c.flush()
+}
+
+func (c *conn) Closed(now loop.Nanos, err error) {
+	c.now = now
+	if errors.Is(err, loop.ErrOutputBound) {
+		c.s.Counts.Overflows++
+	}
+	c.s.l.Cancel(&c.greet)
+	c.h.Lost()
+	delete(c.s.conns, c)
+}
+
+func (c *conn) flush() {
+	if c.h.Waiting() {
+		c.lc.Write(c.h.Take())
+	}
+	if c.h.Over() != nil {
+		c.lc.CloseSoon()
+	} else if c.lc.Queued() > busyOutput {
+		c.h.Congested(true)
+	}
+}
+
+// ---- What HTTP/2 tells.
+
+func (c *conn) Headers(s *h2.Stream, h *h2.Header) {
+	path := h.Get(":path")
+	if path != generate {
+		c.aside(s, path)
+		return
+	}
+	call := &waiting{}
+	if v := h.Get("grpc-timeout"); v != "" {
+		t, err := h2.ParseTimeout(v)
+		if err != nil {
+			c.bad(s, err)
+			return
+		}
+		if call.timeout = t; t == 0 {
+			s.End(codes.DeadlineExceeded, "the call's time is up")
+			return
+		}
+	}
+	if v := h.Get("grpc-encoding"); v != "" && v != "identity" {
+		s.End(codes.Unimplemented, "grpc-encoding "+v+": this server takes none but identity")
+		return
+	}
+	if v := h.Get("grpc-previous-rpc-attempts"); v != "" {
+		n, err := strconv.ParseUint(v, 10, 31)
+		if err != nil {
+			c.bad(s, errors.New("grpc-previous-rpc-attempts "+strconv.Quote(v)+": want a number"))
+			return
+		}
+		call.repeat = int64(n)
+	}
+	call.trace = h.Get("traceparent")
+	call.came = c.now
+	s.Tag = call
+}
+
+// waiting is a call whose message has not come yet.
+type waiting struct {
+	timeout, repeat int64
+	came            loop.Nanos
+	trace           string
+}
+
+func (c *conn) bad(s *h2.Stream, err error) {
+	c.s.Counts.Bad++
+	s.End(codes.InvalidArgument, err.Error())
+}
+
+func (c *conn) Message(s *h2.Stream, p []byte) bool {
+	switch tag := s.Tag.(type) {
+	case *aside:
+		tag.message(c, s, p)
+	case *waiting:
+		r := &c.s.req
+		if err := r.decode(p); err != nil {
+			c.bad(s, err)
+			return false
+		}
+		r.Timeout, r.Repeat, r.Trace = tag.timeout, tag.repeat, tag.trace
+		if r.Timeout > 0 {
+			r.Timeout = max(1, r.Timeout-(c.now-tag.came))
+		}
+		s.Tag = nil
+		c.s.Counts.Calls++
+		id, err := c.s.core.Arrive(c.now, Call{c, s}, r)
+		var no Refusal
+		switch {
+		case err == nil:
+			s.Ref = uint64(id)
+		case errors.As(err, &no):
+			Call{c, s}.Nack(0, no.After, no.Why)
+		default:
+			c.bad(s, err)
+		}
+	default:
+		if s.Ref != 0 {
+			id := policy.JobID(s.Ref)
+			c.bad(s, errors.New("a second message: Generate takes one"))
+			c.s.core.Left(c.now, id)
+		}
+	}
+	return false
+}
+
+func (c *conn) Finished(*h2.Stream, codes.Code, string, *h2.Header) {}
+
+func (c *conn) Reset(s *h2.Stream, _ http2.ErrCode, _ bool) {
+	if id := policy.JobID(s.Ref); id != 0 {
+		s.Ref = 0
+		c.s.core.Left(c.now, id)
+	}
+}
+
+func (c *conn) Room(s *h2.Stream) {
+	if s.Ref != 0 {
+		c.s.core.Room(c.now, policy.JobID(s.Ref))
+	}
+}
+
+func (c *conn) GoingAway() {}
+func (c *conn) Pong()      {}
+
+// Call is the client's end of a job.
+type Call struct {
+	c *conn
+	s *h2.Stream
+}
+
+// Valid tells that there is a client.
+func (a Call) Valid() bool { return a.s != nil }
+
+// Tokens relays one message. True says that it waits for the client: the engine is to be held back until the
+// core's Room.
+func (a Call) Tokens(id policy.JobID, p []byte) (waits bool) {
+	if !a.s.Headed() {
+		a.s.SendHeaders(hpack.HeaderField{Name: "docksail-job", Value: a.c.s.core.Name(id)})
+	}
+	a.s.Send(p, false)
+	a.c.touch()
+	return a.s.Pending() > 0
+}
+
+// Waits tells that the client has not taken all that was sent.
+func (a Call) Waits() bool { return a.s.Pending() > 0 }
+
+// Honour ends the call with OK.
+func (a Call) Honour(id policy.JobID) { a.end(id, codes.OK, "") }
+
+// Abandon ends the call with ABORTED: nothing is promised.
+func (a Call) Abandon(id policy.JobID, why string) {
+	a.end(id, codes.Aborted, "abandoned: "+why, hpack.HeaderField{Name: "grpc-retry-pushback-ms", Value: "-1"})
+}
+
+// Nack ends the call with UNAVAILABLE: trying again is harmless, best after so many nanoseconds.
+func (a Call) Nack(id policy.JobID, after loop.Nanos, why string) {
+	ms := (after + 1e6 - 1) / 1e6
+	why = "nacked: " + why
+	a.end(id, codes.Unavailable, why,
+		hpack.HeaderField{Name: "grpc-retry-pushback-ms", Value: strconv.FormatInt(ms, 10)},
+		hpack.HeaderField{Name: "grpc-status-details-bin", Value: details(codes.Unavailable, why, after)})
+}
+
+func (a Call) end(id policy.JobID, code codes.Code, why string, extra ...hpack.HeaderField) {
+	if id != 0 && !a.s.Headed() {
+		extra = append(extra, hpack.HeaderField{Name: "docksail-job", Value: a.c.s.core.Name(id)})
+	}
+	a.s.End(code, why, extra...)
+	a.c.touch()
+}
+
+// details encodes a google.rpc.Status with RetryInfo as grpc-status-details-bin has it.
+func details(code codes.Code, why string, after loop.Nanos) string {
+	info, err := anypb.New(&errdetails.RetryInfo{RetryDelay: durationpb.New(time.Duration(after))})
+	if err != nil {
+		return ""
+	}
+	b, err := proto.Marshal(&status.Status{Code: int32(code), Message: why, Details: []*anypb.Any{info}})
+	if err != nil {
+		return ""
+	}
+	return base64.RawStdEncoding.EncodeToString(b)
+}
--- /dev/null
+++ b/internal/front/grpc/request.go
@@ -0,0 +1,96 @@
+package grpc
+
+import (
+	"fmt"
+	"unicode/utf8"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Request is one GenerateRequest as it stands in the message: slices of it, without a copy. The message itself
+// is handed on to engines as it came.
+type Request struct {
+	Raw       []byte
+	Track     []byte
+	Tenant    []byte
+	Session   []byte
+	Beginning []byte
+	Label     []byte
+	Prompt    int64
+	Shared    int64
+	Most      int64
+	Patience  int64 // nanoseconds; 0 = not told
+	Hint      int64
+	Timeout   int64 // of the call, nanoseconds; 0 = none
+	Repeat    int64 // earlier tries, as the client tells
+	Trace     string
+}
+
+// decode reads a message; unknown fields are passed over, as the format wants it.
+func (r *Request) decode(p []byte) error {
+	*r = Request{Raw: p}
+	for len(p) > 0 {
+		num, typ, n := protowire.ConsumeTag(p)
+		if n < 0 {
+			return fmt.Errorf("malformed message: %w", protowire.ParseError(n))
+		}
+		p = p[n:]
+		var to *[]byte
+		var val *int64
+		most := uint64(1<<32 - 1)
+		switch num {
+		case 1:
+			to = &r.Track
+		case 2:
+			to = &r.Tenant
+		case 3:
+			to = &r.Session
+		case 4:
+			to = &r.Beginning
+		case 5:
+			val = &r.Prompt
+		case 6:
+			val = &r.Shared
+		case 7:
+			val = &r.Most
+		case 8:
+			to = &r.Label
+		case 9:
+			val, most = &r.Patience, 1<<62
+		case 10:
+			val, most = &r.Hint, 1<<62
+		}
+		switch {
+		case to != nil && typ == protowire.BytesType:
+			v, n := protowire.ConsumeBytes(p)
+			if n < 0 {
+				return fmt.Errorf("malformed message: field %d: %w", num, protowire.ParseError(n))
+			}
+			if !utf8.Valid(v) {
+				return fmt.Errorf("malformed message: field %d is no UTF-8", num)
+			}
+			*to, p = v, p[n:]
+		case val != nil && typ == protowire.VarintType:
+			v, n := protowire.ConsumeVarint(p)
+			if n < 0 {
+				return fmt.Errorf("malformed message: field %d: %w", num, protowire.ParseError(n))
+			}
+			if v > most {
+				return fmt.Errorf("field %d is %d, want at most %d", num, v, most)
+			}
+			*val, p = int64(v), p[n:]
+		case to != nil || val != nil:
+			return fmt.Errorf("malformed message: field %d has wire type %d", num, typ)
+		default:
+			n := protowire.ConsumeFieldValue(num, typ, p)
+			if n < 0 {
+				return fmt.Errorf("malformed message: field %d: %w", num, protowire.ParseError(n))
+			}
+			p = p[n:]
+		}
+	}
+	if r.Shared > r.Prompt {
+		return fmt.Errorf("beginning_tokens is %d, want at most prompt_tokens, %d", r.Shared, r.Prompt)
+	}
+	return nil
+}
--- a/internal/h2/h2.go
+++ b/internal/h2/h2.go
@@ -482,6 +482,7 @@
 	}
 	if c.server {
 		s.SendHeaders()
+		c.guard.Used()
 	}
 	prefix := [5]byte{0, byte(len(p) >> 24), byte(len(p) >> 16), byte(len(p) >> 8), byte(len(p))}
 	n := int64(len(p) + 5)
@@ -698,3 +699,6 @@
 	}
 	return b.String()
 }
+
+// Headed tells that our headers have been sent.
+func (s *Stream) Headed() bool { return s.headed }
--- /dev/null
+++ b/internal/lab/book/book.go
@@ -0,0 +1,113 @@
+// Package book is what the laboratory's parties write down of what passed on their sockets: the rule checker
+// reads nothing else.
+package book
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Kind of an entry.
+type Kind string
+
+const (
+	Asked    Kind = "asked"      // a client sent a try
+	Token    Kind = "token"      // a client got its first token
+	Final    Kind = "final"      // a client got a final answer; Code says which
+	Quit     Kind = "quit"       // a client left by its own will
+	NoAnswer Kind = "unanswered" // a client's time was up, or its connection lost, without a final answer
+	Sent     Kind = "sent"       // a launch passed towards a host; Note says read or write
+	Ended    Kind = "ended"      // the end of a launch passed: by status (Code), reset or closed connection (Note)
+	Held     Kind = "held"       // a reader holds the state of a job
+	LetGo    Kind = "letgo"      // it was fetched, let go or ran out; Note says which
+	Ran      Kind = "ran"        // a host began to answer a job
+	Told     Kind = "told"       // the lister told a dispatcher of a host; Note is its health, N its start
+	Start    Kind = "start"      // a host's process started
+	Toppled  Kind = "toppled"    // a cold host fell over
+	Trouble  Kind = "trouble"    // the script began or ended one
+	Up       Kind = "up"         // a dispatcher started
+	Down     Kind = "down"       // a dispatcher was killed or left
+)
+
+// Entry is one thing that passed. Times are Unix nanoseconds, all on one machine's clock.
+type Entry struct {
+	At     int64  `json:"at"`
+	Kind   Kind   `json:"kind"`
+	Job    string `json:"job,omitempty"` // the dispatcher's name for it
+	Shot   int    `json:"shot,omitempty"`
+	Host   int    `json:"host,omitempty"`
+	Label  string `json:"label,omitempty"` // the client's name for it
+	Try    int    `json:"try,omitempty"`
+	Track  string `json:"track,omitempty"`
+	Tenant string `json:"tenant,omitempty"`
+	Code   string `json:"code,omitempty"`
+	Note   string `json:"note,omitempty"`
+	N      int64  `json:"n,omitempty"`
+	Disp   int    `json:"disp,omitempty"` // which dispatcher, from 0
+	By     int64  `json:"by,omitempty"`   // a time that belongs to it: deadline of a try
+}
+
+// Book collects entries; any goroutine may write. Its zero value is ready.
+type Book struct {
+	mu      sync.Mutex
+	entries []Entry
+}
+
+// Add writes an entry, at the present time if it has none.
+func (b *Book) Add(e Entry) {
+	if b == nil {
+		return
+	}
+	if e.At == 0 {
+		e.At = time.Now().UnixNano()
+	}
+	b.mu.Lock()
+	b.entries = append(b.entries, e)
+	b.mu.Unlock()
+}
+
+// Entries gives all so far, by time.
+func (b *Book) Entries() []Entry {
+	b.mu.Lock()
+	es := slices.Clone(b.entries)
+	b.mu.Unlock()
+	slices.SortStableFunc(es, func(a, c Entry) int {
+		if a.At != c.At {
+			return int(min(max(a.At-c.At, -1), 1))
+		}
+		return 0
+	})
+	return es
+}
+
+// Write writes entries as lines of JSON.
+func Write(w io.Writer, es []Entry) error {
+	enc := json.NewEncoder(w)
+	for _, e := range es {
+		if err := enc.Encode(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Read reads what Write wrote.
+func Read(r io.Reader) ([]Entry, error) {
+	var es []Entry
+	dec := json.NewDecoder(r)
+	for {
+		var e Entry
+		switch err := dec.Decode(&e); err {
+		case nil:
+			es = append(es, e)
+		case io.EOF:
+			return es, nil
+		default:
+			return nil, fmt.Errorf("entry %d: %w", len(es)+1, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/client/client.go
@@ -0,0 +1,357 @@
+// Package client is a stand-in for the users of a dispatcher, on grpc-go: sessions of several turns arrive at
+// random times, try again when told to, and sometimes leave.
+package client
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	pb "docksail/api/docksail/v1"
+	"docksail/internal/lab/book"
+	"docksail/internal/lab/engine"
+)
+
+// Track is what the jobs of a track are like.
+type Track struct {
+	Name               string
+	Share              float64 // of the sessions
+	Tenant             string
+	Turns              int
+	Prompt, PromptMost int // tokens that each turn adds
+	Beginning          int // tokens of the shared beginning; 0 = none
+	Beginnings         int // how many different ones
+	Answer             int // most tokens
+	Expected, Per1k    time.Duration
+	Patience           time.Duration
+	Call               time.Duration // whole time of a call; 0 = patience and some time for the answer
+	Payoff             float64
+	Retries            int
+	Irreversible       bool          // only a nack is followed by another try
+	Leave              float64       // share of the tries that the client leaves, at a random point
+	Idle               time.Duration // between turns
+}
+
+// Load is a stream of sessions.
+type Load struct {
+	Targets []string // dispatchers; each client takes one, and another after a lost connection
+	Tracks  []Track
+	Rate    func(at time.Duration) float64 // sessions a second
+	For     time.Duration
+	Seed    uint64
+	Heavy   func(at time.Duration) int // times as long prompts; nil = 1
+	Conns   int                        // connections to each dispatcher
+}
+
+// Sum is what became of the jobs of a track.
+type Sum struct {
+	Jobs, Honoured, OnTime, Nacked, Abandoned, Left, Unanswered, Wrong int
+	Tries                                                              int
+	Payoff, Asked                                                      float64
+	First                                                              []time.Duration // to the first token, of those honoured
+}
+
+// Kept is the payoff in the expected time over the payoff asked for.
+func (s *Sum) Kept() float64 {
+	if s.Asked == 0 {
+		return math.NaN()
+	}
+	return s.Payoff / s.Asked
+}
+
+// Run plays a load to its end and gives what became of it, by track.
+func Run(ctx context.Context, l Load, b *book.Book) (map[string]*Sum, error) {
+	var conns [][]pb.GenerationClient
+	for _, t := range l.Targets {
+		var some []pb.GenerationClient
+		for range max(l.Conns, 1) {
+			c, err := grpc.NewClient(t, grpc.WithTransportCredentials(insecure.NewCredentials()),
+				grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 200 * time.Millisecond}))
+			if err != nil {
+				return nil, fmt.Errorf("client of %s: %w", t, err)
+			}
+			defer c.Close()
+			some = append(some, pb.NewGenerationClient(c))
+		}
+		conns = append(conns, some)
+	}
+	sums := map[string]*Sum{}
+	for _, t := range l.Tracks {
+		sums[t.Name] = &Sum{}
+	}
+	r := &runner{l: l, b: b, conns: conns, sums: sums}
+	rng := rand.New(rand.NewPCG(l.Seed, 1))
+	begin := time.Now()
+	var wg sync.WaitGroup
+	at := time.Duration(0)
+	for n := 0; ; n++ {
+		rate := l.Rate(at)
+		if rate <= 0 {
+			at += 10 * time.Millisecond
+		} else {
+			at += min(time.Duration(rng.ExpFloat64()/rate*1e9), 200*time.Millisecond)
+		}
+		if at >= l.For || ctx.Err() != nil {
+			break
+		}
+		x, track := rng.Float64(), l.Tracks[len(l.Tracks)-1]
+		for _, t := range l.Tracks {
+			if x -= t.Share; x < 0 {
+				track = t
+				break
+			}
+		}
+		seed := rng.Uint64()
+		heavy := 1
+		if l.Heavy != nil {
+			heavy = l.Heavy(at)
+		}
+		if wait := at - time.Since(begin); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+			}
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r.session(ctx, n, track, heavy, rand.New(rand.NewPCG(seed, uint64(n))))
+		}()
+	}
+	wg.Wait()
+	return sums, nil
+}
+
+type runner struct {
+	l     Load
+	b     *book.Book
+	conns [][]pb.GenerationClient
+	mu    sync.Mutex
+	sums  map[string]*Sum
+	turn  atomic.Int64
+}
+
+// session plays one conversation: each turn's prompt holds all that went before.
+func (r *runner) session(ctx context.Context, n int, t Track, heavy int, rng *rand.Rand) {
+	prompt := 0
+	req := &pb.GenerateRequest{Track: t.Name, Tenant: t.Tenant, Session: "s" + strconv.Itoa(n), MaxTokens: uint32(t.Answer)}
+	if t.Beginning > 0 {
+		// A few beginnings are shared by most.
+		req.Beginning = "b" + strconv.Itoa(int(float64(max(t.Beginnings, 1))*rng.Float64()*rng.Float64()))
+		req.BeginningTokens = uint32(t.Beginning)
+		prompt = t.Beginning
+	}
+	for turn := range 1 + rng.IntN(max(t.Turns, 1)) {
+		prompt += heavy * (t.Prompt + rng.IntN(max(t.PromptMost-t.Prompt, 1)))
+		req.PromptTokens = uint32(prompt)
+		req.Label = fmt.Sprintf("%d.%d", n, turn)
+		req.Prompt = []byte(req.Label)
+		answer, ok := r.job(ctx, t, req, rng)
+		if !ok || ctx.Err() != nil {
+			return
+		}
+		prompt += answer
+		select {
+		case <-time.After(time.Duration(float64(t.Idle) * rng.Float64())):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// job is one job with all its tries; it gives the tokens of the answer.
+func (r *runner) job(ctx context.Context, t Track, req *pb.GenerateRequest, rng *rand.Rand) (int, bool) {
+	begin := time.Now()
+	expected := t.Expected + t.Per1k*time.Duration(req.PromptTokens)/1000
+	worth := t.Payoff * float64(req.PromptTokens+4*req.MaxTokens)
+	sum := func(f func(s *Sum)) {
+		r.mu.Lock()
+		f(r.sums[t.Name])
+		r.mu.Unlock()
+	}
+	sum(func(s *Sum) { s.Jobs++; s.Asked += worth })
+	at := rng.IntN(len(r.conns))
+	for try := 0; ; try++ {
+		left := t.Patience + 2*t.Per1k*time.Duration(req.PromptTokens)/1000 - time.Since(begin)
+		sum(func(s *Sum) { s.Tries++ })
+		target := r.conns[at][int(r.turn.Add(1))%len(r.conns[at])]
+		res := r.try(ctx, target, t, req, try, left, rng)
+		switch {
+		case res.code == codes.OK && res.wrong:
+			sum(func(s *Sum) { s.Wrong++ })
+			return 0, false
+		case res.code == codes.OK:
+			first := res.first.Sub(begin)
+			sum(func(s *Sum) {
+				s.Honoured++
+				s.First = append(s.First, first)
+				if first <= expected {
+					s.OnTime++
+					s.Payoff += worth
+				}
+			})
+			return res.tokens, true
+		case res.left:
+			sum(func(s *Sum) { s.Left++; s.Asked -= worth })
+			return 0, false
+		}
+		nacked := res.code == codes.Unavailable && res.final
+		again := nacked || !t.Irreversible
+		wait := res.after
+		if res.after < 0 {
+			again = again && res.lost // the dispatcher asks to stay away
+		}
+		if res.lost {
+			at = (at + 1) % len(r.conns)
+			wait = 50 * time.Millisecond
+		}
+		wait = time.Duration(float64(wait) * (1 + 0.2*rng.Float64()))
+		if !again || try >= t.Retries || time.Since(begin)+wait >= t.Patience || ctx.Err() != nil {
+			sum(func(s *Sum) {
+				switch {
+				case nacked:
+					s.Nacked++
+				case res.final:
+					s.Abandoned++
+				default:
+					s.Unanswered++
+				}
+			})
+			return 0, false
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
+
+type outcome struct {
+	code   codes.Code
+	final  bool // the dispatcher's own answer
+	lost   bool // the connection was
+	left   bool // by the client's will
+	wrong  bool // the answer is not the one that was asked for
+	first  time.Time
+	tokens int
+	after  time.Duration
+}
+
+func (r *runner) try(ctx context.Context, c pb.GenerationClient, t Track, req *pb.GenerateRequest, try int,
+	left time.Duration, rng *rand.Rand) outcome {
+	call := t.Call
+	if call == 0 {
+		call = left + time.Duration(req.MaxTokens)*200*time.Millisecond
+	}
+	ctx, cancel := context.WithTimeout(ctx, call)
+	defer cancel()
+	if try > 0 {
+		ctx = metadata.AppendToOutgoingContext(ctx, "grpc-previous-rpc-attempts", strconv.Itoa(try))
+	}
+	leaves := -1
+	var quit atomic.Bool
+	if rng.Float64() < t.Leave {
+		if rng.IntN(2) == 0 { // at some time, or after some tokens
+			time.AfterFunc(time.Duration(rng.Float64()*float64(t.Expected)), func() { quit.Store(true); cancel() })
+		} else {
+			leaves = 1 + rng.IntN(max(int(req.MaxTokens)/2, 1))
+		}
+	}
+	req.PatienceNs = uint64(left)
+	now := time.Now()
+	e := book.Entry{Label: req.Label, Try: try, Track: t.Name, Tenant: t.Tenant}
+	note := func(kind book.Kind, code string, job string) {
+		e := e
+		e.Kind, e.Code, e.Job, e.By = kind, code, job, now.Add(left).UnixNano()
+		r.b.Add(e)
+	}
+	note(book.Asked, "", "")
+	stream, err := c.Generate(ctx, req)
+	job := ""
+	var res outcome
+	for err == nil {
+		var tok *pb.Tokens
+		tok, err = stream.Recv()
+		if err != nil {
+			break
+		}
+		if res.tokens == 0 {
+			res.first = time.Now()
+			if md, e := stream.Header(); e == nil && len(md.Get("docksail-job")) > 0 {
+				job = md.Get("docksail-job")[0]
+			}
+			note(book.Token, "", job)
+		}
+		for i, got := range tok.Tokens {
+			if int(tok.Position)+i != res.tokens || got != engine.Tok(req, res.tokens) {
+				res.wrong = true
+			}
+			res.tokens++
+		}
+		if leaves > 0 && res.tokens >= leaves {
+			quit.Store(true)
+			cancel()
+		}
+	}
+	if stream != nil && job == "" {
+		for _, md := range []metadata.MD{stream.Trailer()} {
+			if v := md.Get("docksail-job"); len(v) > 0 {
+				job = v[0]
+			}
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		res.code, res.final = codes.OK, true
+		if res.tokens != engine.Answer(req) {
+			res.wrong = true
+		}
+		code := "OK"
+		if res.wrong {
+			code = "OK, but not the whole answer"
+		}
+		note(book.Final, code, job)
+		return res
+	}
+	st := status.Convert(err)
+	res.code = st.Code()
+	var md metadata.MD
+	if stream != nil {
+		md = stream.Trailer()
+	}
+	push := md.Get("grpc-retry-pushback-ms")
+	switch {
+	case quit.Load():
+		res.left = true
+		note(book.Quit, "", job)
+	case len(push) > 0:
+		res.final = true
+		ms, _ := strconv.Atoi(push[0])
+		res.after = time.Duration(ms) * time.Millisecond
+		for _, d := range st.Details() {
+			if info, ok := d.(*errdetails.RetryInfo); ok && ms >= 0 {
+				res.after = max(res.after, info.RetryDelay.AsDuration())
+			}
+		}
+		note(book.Final, res.code.String(), job)
+	case res.code == codes.Unavailable:
+		res.lost = true
+		note(book.NoAnswer, "lost: "+st.Message(), job)
+	default:
+		note(book.NoAnswer, res.code.String()+": "+st.Message(), job)
+	}
+	return res
+}
--- /dev/null
+++ b/internal/lab/drill/script.go
@@ -0,0 +1,271 @@
+// Package drill plays a scripted day in real time: stand-in engines, listers, relays, clients and real dispatchers
+// on loopback, with troubles that begin and end by the script. What passed on the sockets is judged by the rules.
+package drill
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"time"
+
+	pb "docksail/api/docksail/v1"
+	"docksail/internal/lab/client"
+	"docksail/internal/lab/engine"
+	"docksail/internal/lab/rules"
+	"docksail/internal/setup"
+	"docksail/policy"
+)
+
+// Script is a day.
+type Script struct {
+	Seed        int64        `json:"seed"`
+	For         Dur          `json:"for" need:"how long load comes"`
+	Rate        float64      `json:"sessions_per_second" need:"sessions a second, at the usual"`
+	ListerLate  Dur          `json:"lister_late"`
+	Release     Dur          `json:"release_within"`
+	Cold        Cold         `json:"cold_start" need:"what cold hosts bear"`
+	Fleet       []Hosts      `json:"fleet" need:"groups of hosts"`
+	Dispatchers []Dispatcher `json:"dispatchers" need:"a list of dispatchers"`
+	Load        []Track      `json:"tracks" need:"a list of tracks"`
+	Troubles    []Trouble    `json:"troubles"`
+	Most        int64        `json:"launches"`
+}
+
+// Dur is a length of time as text.
+type Dur = time.Duration
+
+// Cold is what cold hosts bear.
+type Cold struct {
+	From     float64 `json:"from"`
+	Warm     Dur     `json:"warm_after"`
+	Multiple float64 `json:"topples_at"`
+	Window   Dur     `json:"topples_over"`
+}
+
+// Hosts is a group of hosts alike.
+type Hosts struct {
+	Count    int     `json:"count" need:"how many"`
+	Role     string  `json:"role" need:"reader, writer or mixed"`
+	Zone     string  `json:"zone"`
+	Cell     string  `json:"cell"`
+	Slots    int     `json:"slots" need:"jobs at once"`
+	Queue    int     `json:"queue"`
+	Memory   int64   `json:"memory_tokens"`
+	ReadRate float64 `json:"reads_per_second"` // prompt tokens
+	TokenGap Dur     `json:"token_gap"`
+	Jobs     float64 `json:"jobs_per_second" need:"what one can do warm"`
+	MoveRate float64 `json:"moves_per_second"` // tokens of state
+}
+
+// Dispatcher is one dispatcher of the day.
+type Dispatcher struct {
+	Zone string `json:"zone"`
+}
+
+// Track is a class of jobs: what the dispatcher is told of it and what its clients do.
+type Track struct {
+	Name       string       `json:"name" need:"a name"`
+	Share      float64      `json:"share" need:"its share of the sessions"`
+	Tenant     string       `json:"tenant"`
+	Expected   Dur          `json:"expected" need:"time in which the first token is wanted"`
+	Per1k      Dur          `json:"expected_per_1000_tokens"`
+	Patience   Dur          `json:"patience" need:"the client's patience"`
+	Payoff     float64      `json:"payoff"`
+	TokenGap   Dur          `json:"token_gap" need:"time wanted between tokens"`
+	Effect     setup.Effect `json:"effect"`
+	Group      setup.Group  `json:"group"`
+	Window     Dur          `json:"window"`
+	Turns      int          `json:"turns"`
+	Prompt     int          `json:"prompt" need:"least tokens that a turn adds"`
+	PromptMost int          `json:"prompt_most"`
+	Beginning  int          `json:"beginning"`
+	Beginnings int          `json:"beginnings"`
+	Answer     int          `json:"answer" need:"most tokens of an answer"`
+	Retries    int          `json:"retries"`
+	Leave      float64      `json:"leave"`
+	Idle       Dur          `json:"idle"`
+}
+
+// Trouble is one thing that goes wrong.
+type Trouble struct {
+	Kind   string  `json:"kind" need:"what goes wrong"`
+	At     Dur     `json:"at" need:"when"`
+	For    Dur     `json:"for"`
+	Hosts  []int   `json:"hosts"` // numbers of hosts, from 1, in the order of the fleet
+	Share  float64 `json:"share"` // or so many of them, by the seed
+	Role   string  `json:"role"`  // of this role
+	Zone   string  `json:"zone"`
+	Cell   string  `json:"cell"`
+	Track  string  `json:"track"`
+	Factor float64 `json:"factor"`
+	Number int     `json:"dispatcher"`
+}
+
+// Kinds of trouble, and what each needs.
+var kinds = map[string]string{
+	"crash":      "hosts end at once and start again, cold, at its end",
+	"hang":       "hosts take work and answer none",
+	"errors":     "hosts fail a share of the work at once (factor, 0 to 1)",
+	"slow":       "hosts take factor times as long",
+	"vanish":     "hosts are cut off with no reset and start again, cold, at its end",
+	"ageing":     "hosts get slower and slower until they crash at its end, and start again cold",
+	"deaf":       "hosts leave one track unanswered",
+	"links":      "states move factor times as slowly from the hosts",
+	"reports":    "load reports are late by its length",
+	"pauses":     "hosts stand still for a tenth of every second",
+	"cut":        "a zone is cut off from the dispatchers of others",
+	"burst":      "factor times as many sessions",
+	"heavy":      "one prompt in thirty is factor times as long",
+	"rack":       "all hosts of a cell start again, cold, at once",
+	"drain":      "hosts are drained as told by the lister, then end, and start again, cold, at its end",
+	"stall":      "writers fall silent after factor tokens of each answer",
+	"neighbour":  "hosts take factor times as long, in turns of half a second",
+	"dispatcher": "a dispatcher is killed and starts again at its end",
+	"lister":     "the listers are away",
+	"reset":      "all connections to the hosts are reset, once",
+	"trickle":    "bytes to and from the hosts pass one by one",
+	"delay":      "bytes to and from the hosts pass factor milliseconds late",
+}
+
+var roles = map[string]pb.Role{"reader": pb.Role_ROLE_READER, "writer": pb.Role_ROLE_WRITER, "mixed": pb.Role_ROLE_MIXED}
+
+// Load reads a script from a file.
+func Load(name string) (*Script, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(name, text)
+}
+
+// Parse reads a script; name stands for the file in errors.
+func Parse(name string, text []byte) (*Script, error) {
+	s := &Script{Seed: 1, Release: time.Second, Most: 5}
+	err := setup.Decode(name, text, s, func(bad func(path, format string, args ...any)) {
+		for i, h := range s.Fleet {
+			if _, ok := roles[h.Role]; !ok {
+				bad(fmt.Sprintf("fleet[%d].role", i), "%q, want reader, writer or mixed", h.Role)
+			}
+			if h.Count < 1 || h.Slots < 1 || h.Jobs <= 0 {
+				bad(fmt.Sprintf("fleet[%d]", i), "want count, slots and jobs_per_second above 0")
+			}
+			if h.Role != "writer" && h.ReadRate <= 0 {
+				bad(fmt.Sprintf("fleet[%d].reads_per_second", i), "is %v, want more than 0 for what reads", h.ReadRate)
+			}
+			if h.Role != "reader" && h.TokenGap <= 0 {
+				bad(fmt.Sprintf("fleet[%d].token_gap", i), "is %v, want more than 0 for what writes", h.TokenGap)
+			}
+		}
+		if len(s.Dispatchers) == 0 || len(s.Load) == 0 || s.For <= 0 {
+			bad("dispatchers", "want one dispatcher, one track and some time at least")
+		}
+		total := len(s.hosts())
+		for i, t := range s.Troubles {
+			at := fmt.Sprintf("troubles[%d]", i)
+			if _, ok := kinds[t.Kind]; !ok {
+				var names []string
+				for k := range kinds {
+					names = append(names, k)
+				}
+				slices.Sort(names)
+				bad(at+".kind", "%q, want one of %v", t.Kind, names)
+			}
+			for _, h := range t.Hosts {
+				if h < 1 || h > total {
+					bad(at+".hosts", "%d, want 1 to %d", h, total)
+				}
+			}
+			if t.Number < 0 || t.Number >= len(s.Dispatchers) {
+				bad(at+".dispatcher", "%d, want 0 to %d", t.Number, len(s.Dispatchers)-1)
+			}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// hosts spells out the fleet, numbered from 1.
+func (s *Script) hosts() []engine.Spec {
+	var all []engine.Spec
+	for _, h := range s.Fleet {
+		for range h.Count {
+			e := engine.Spec{ID: len(all) + 1, Role: roles[h.Role], Zone: h.Zone, Cell: h.Cell, Slots: h.Slots, Queue: h.Queue,
+				Memory: h.Memory, ReadRate: h.ReadRate, TokenGap: h.TokenGap, JobsPerSecond: h.Jobs, ColdFrom: s.Cold.From,
+				Warm: s.Cold.Warm, Topple: s.Cold.Multiple, ToppleOver: s.Cold.Window, MoveRate: h.MoveRate,
+				Hold: 10 * time.Second, ReportEvery: 100 * time.Millisecond}
+			if e.Memory == 0 {
+				e.Memory = 200000
+			}
+			if e.MoveRate == 0 {
+				e.MoveRate = 300000
+			}
+			if e.ReadRate == 0 {
+				e.ReadRate = 5000
+			}
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// settings are what dispatcher n is told.
+func (s *Script) settings(n int) *setup.Dispatcher {
+	d := setup.Usual()
+	d.Zone, d.Number, d.Count, d.Seed, d.HashKey = s.Dispatchers[n].Zone, int32(n), int32(len(s.Dispatchers)), uint64(s.Seed)+uint64(n), 7
+	d.Launches.Most = int32(s.Most)
+	d.Launches.Connect = 250 * time.Millisecond
+	d.Rules.Release = s.Release
+	d.Cold = setup.Cold{From: s.Cold.From, Warm: s.Cold.Warm, Multiple: s.Cold.Multiple, Window: s.Cold.Window}
+	tenants := map[string]bool{}
+	for _, t := range s.Load {
+		d.Tracks = append(d.Tracks, setup.Track{Name: t.Name, Expected: t.Expected, ExpectedPer1k: t.Per1k,
+			Patience: t.Patience, Payoff: t.Payoff, TokenGap: t.TokenGap, Effect: t.Effect, Group: t.Group, Window: t.Window})
+		if t.Tenant != "" && !tenants[t.Tenant] {
+			tenants[t.Tenant] = true
+			d.Tenants = append(d.Tenants, setup.Tenant{Name: t.Tenant, PerSecond: s.Rate})
+		}
+	}
+	return d
+}
+
+// clients are the load's tracks.
+func (s *Script) clients() []client.Track {
+	var ts []client.Track
+	for _, t := range s.Load {
+		ts = append(ts, client.Track{Name: t.Name, Share: t.Share, Tenant: t.Tenant, Turns: t.Turns, Prompt: t.Prompt,
+			PromptMost: t.PromptMost, Beginning: t.Beginning, Beginnings: t.Beginnings, Answer: t.Answer, Expected: t.Expected,
+			Per1k: t.Per1k, Patience: t.Patience, Payoff: max(t.Payoff, 1), Retries: t.Retries, Leave: t.Leave, Idle: t.Idle,
+			Irreversible: policy.Effect(t.Effect) != policy.Redoable})
+	}
+	return ts
+}
+
+// facts are what the rules are judged by.
+func (s *Script) facts() rules.Facts {
+	f := rules.Facts{Tracks: map[string]rules.Track{}, Hosts: map[int]rules.Host{}, Release: s.Release,
+		Grace: setup.Usual().Rules.Drain, Slack: 250 * time.Millisecond}
+	for _, t := range s.Load {
+		f.Tracks[t.Name] = rules.Track{Effect: []string{"redoable", "labelled", "irreversible"}[t.Effect],
+			Group: []string{"all", "zone", "cell"}[t.Group], Window: t.Window}
+	}
+	for _, h := range s.hosts() {
+		f.Hosts[h.ID] = rules.Host{Zone: h.Zone, Cell: h.Cell}
+	}
+	return f
+}
+
+// Demo is a small quiet day.
+func Demo() *Script {
+	return &Script{Seed: 1, For: time.Second, Rate: 5, Release: time.Second, Most: 5,
+		Cold: Cold{From: 1, Warm: time.Second, Multiple: 100, Window: time.Second},
+		Fleet: []Hosts{{Count: 2, Role: "reader", Zone: "a", Cell: "a1", Slots: 8, Queue: 32, ReadRate: 20000, Jobs: 10},
+			{Count: 2, Role: "writer", Zone: "a", Cell: "a1", Slots: 32, Queue: 32, TokenGap: 20 * time.Millisecond, Jobs: 10}},
+		Dispatchers: []Dispatcher{{Zone: "a"}},
+		Load: []Track{{Name: "question", Share: 1, Expected: time.Second, Per1k: 60 * time.Millisecond, Patience: 5 * time.Second,
+			Payoff: 1, TokenGap: 50 * time.Millisecond, Prompt: 500, PromptMost: 1500, Answer: 60}}}
+}
+
+func ceil(x float64) int { return int(math.Ceil(x)) }
--- /dev/null
+++ b/internal/lab/engine/engine.go
@@ -0,0 +1,639 @@
+// Package engine is a stand-in for a model host, on grpc-go: it reads prompts, holds read states, hands them over
+// and streams answers, with slots, a bounded queue, memory, kept beginnings, cold starts and the failures that a
+// script asks for. Its figures are made up by a simple model behind the Model seam; they measure nothing real.
+package engine
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	orca "github.com/cncf/xds/go/xds/data/orca/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	pb "docksail/api/docksail/v1"
+	"docksail/internal/lab/book"
+)
+
+// Spec describes a host. Times are real.
+type Spec struct {
+	ID            int
+	Role          pb.Role
+	Zone, Cell    string
+	Slots         int           // prompts or answers at once
+	Queue         int           // more that may wait
+	Memory        int64         // tokens
+	ReadRate      float64       // prompt tokens a second
+	TokenGap      time.Duration // between tokens of an answer, alone
+	JobsPerSecond float64       // what it can do warm
+	ColdFrom      float64       // share of that with which it starts; 1 = never cold
+	Warm          time.Duration
+	Topple        float64 // sent this multiple of what it can do ...
+	ToppleOver    time.Duration
+	MoveRate      float64       // tokens of state a second to another host
+	Hold          time.Duration // a state that nobody fetches is let go after this
+	ReportEvery   time.Duration // its load report is refreshed so often; 0 = always fresh
+	ReportLate    time.Duration // and is so old when it is sent
+}
+
+// Faults are the failures that a host acts out now; all are off in the zero value.
+type Faults struct {
+	Hang       bool    // takes work and answers none
+	FailFast   float64 // share of the work that it answers with an error at once
+	Slow       float64 // times as slow; 0 or 1 = usual
+	Deaf       string  // leaves jobs of this track unanswered
+	StallAfter int     // falls silent after so many tokens of each answer; 0 = never
+	LinkSlow   float64 // moves of its states take so many times as long
+	Paused     bool    // does nothing, and goes on afterwards
+	ReportLate time.Duration
+	Drain      bool // turns new work away
+}
+
+// Model makes the figures: how long work takes. It is the seam behind which a better emulator goes.
+type Model interface {
+	// ReadTime is how long a prompt takes of which so many tokens are not kept.
+	ReadTime(s *Spec, unread int64, warmth float64) time.Duration
+	// Gap is the time to the next token while so many answers run.
+	Gap(s *Spec, running int, warmth float64) time.Duration
+	// MoveTime is how long a state takes to another host.
+	MoveTime(s *Spec, tokens int64, sameCell bool) time.Duration
+}
+
+// Simple is the first model: prompts at a steady rate one after another, gaps that double as slots fill.
+type Simple struct{}
+
+// ReadTime implements Model.
+func (Simple) ReadTime(s *Spec, unread int64, warmth float64) time.Duration {
+	return time.Duration(float64(unread) / (s.ReadRate * warmth) * 1e9)
+}
+
+// Gap implements Model.
+func (Simple) Gap(s *Spec, running int, warmth float64) time.Duration {
+	return time.Duration(float64(s.TokenGap) * (1 + float64(running)/float64(max(s.Slots, 1))) / warmth)
+}
+
+// MoveTime implements Model.
+func (Simple) MoveTime(s *Spec, tokens int64, sameCell bool) time.Duration {
+	t := float64(tokens) / s.MoveRate
+	if !sameCell {
+		t *= 2
+	}
+	return time.Duration(t * 1e9)
+}
+
+// Engine is one host; it can be crashed and started again on the same address.
+type Engine struct {
+	pb.UnimplementedEngineServer
+	Spec  Spec
+	model Model
+	book  *book.Book
+
+	mu       sync.Mutex
+	addr     string
+	srv      *grpc.Server
+	started  time.Time
+	faults   Faults
+	changed  chan struct{} // closed when faults change
+	life     context.Context
+	end      context.CancelFunc
+	toppled  bool
+	arrived  []time.Time // launches of late, for toppling
+	waiting  int
+	running  int
+	unread   int64 // prompt tokens queued or being read
+	reading  chan struct{}
+	states   map[string]*state
+	used     int64
+	kept     map[string]*keptPrefix
+	clock    int64
+	report   *orca.OrcaLoadReport
+	reportAt time.Time
+	peers    map[string]*grpc.ClientConn
+	Served   uint64
+}
+
+type state struct {
+	shot   uint32
+	tokens int64
+	gone   chan struct{}
+}
+
+type keptPrefix struct {
+	tokens int64
+	used   int64
+}
+
+// New makes a host that does not run yet. Entries go to the book, which may be nil.
+func New(spec Spec, model Model, b *book.Book) *Engine {
+	return &Engine{Spec: spec, model: model, book: b, changed: make(chan struct{})}
+}
+
+// Start starts its process on an address; port 0 takes any, and the same one again later.
+func (e *Engine) Start(addr string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.srv != nil {
+		return fmt.Errorf("engine %d runs already", e.Spec.ID)
+	}
+	if e.addr != "" {
+		addr = e.addr
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("engine %d: %w", e.Spec.ID, err)
+	}
+	e.addr = ln.Addr().String()
+	e.srv = grpc.NewServer(grpc.MaxConcurrentStreams(10000))
+	pb.RegisterEngineServer(e.srv, e)
+	e.started, e.toppled, e.arrived = time.Now(), false, nil
+	e.life, e.end = context.WithCancel(context.Background())
+	e.waiting, e.running, e.unread, e.used = 0, 0, 0, 0
+	e.reading = make(chan struct{}, 1)
+	e.states, e.kept, e.peers = map[string]*state{}, map[string]*keptPrefix{}, map[string]*grpc.ClientConn{}
+	e.report = nil
+	e.book.Add(book.Entry{Kind: book.Start, Host: e.Spec.ID})
+	go e.srv.Serve(ln)
+	return nil
+}
+
+// Crash ends its process at once: connections are reset, all that it held is gone.
+func (e *Engine) Crash() {
+	e.mu.Lock()
+	srv, end, peers := e.srv, e.end, e.peers
+	e.srv = nil
+	for job := range e.states {
+		e.book.Add(book.Entry{Kind: book.LetGo, Host: e.Spec.ID, Job: job, Note: "crash"})
+	}
+	e.states = map[string]*state{}
+	e.mu.Unlock()
+	if srv != nil {
+		end()
+		srv.Stop()
+		for _, p := range peers {
+			p.Close()
+		}
+	}
+}
+
+// Addr is where it listens, or did.
+func (e *Engine) Addr() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.addr
+}
+
+// Started is the start of its process; false if there is none.
+func (e *Engine) Started() (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.started, e.srv != nil
+}
+
+// Fail changes the failures that it acts out.
+func (e *Engine) Fail(change func(f *Faults)) {
+	e.mu.Lock()
+	change(&e.faults)
+	close(e.changed)
+	e.changed = make(chan struct{})
+	e.mu.Unlock()
+}
+
+// Held counts the read states that it holds.
+func (e *Engine) Held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.states)
+}
+
+// Busy counts what it runs and what waits.
+func (e *Engine) Busy() (running, waiting int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.running, e.waiting
+}
+
+func jobName(dispatcher, job uint64) string {
+	return strconv.FormatUint(dispatcher, 16) + "." + strconv.FormatUint(job, 16)
+}
+
+// warmth is the share of its capacity that it has now. The lock is held.
+func (e *Engine) warmth() float64 {
+	if e.Spec.ColdFrom <= 0 || e.Spec.ColdFrom >= 1 || e.Spec.Warm <= 0 {
+		return 1
+	}
+	x := float64(time.Since(e.started)) / float64(e.Spec.Warm)
+	return min(1, e.Spec.ColdFrom+(1-e.Spec.ColdFrom)*x)
+}
+
+// arrive takes down a launch and topples a cold host that is sent too much. The lock is held.
+func (e *Engine) arrive() error {
+	now := time.Now()
+	if e.toppled {
+		return status.Error(codes.Internal, "fallen over")
+	}
+	s := &e.Spec
+	if w := e.warmth(); w < 1 && s.Topple > 0 {
+		e.arrived = append(e.arrived, now)
+		for len(e.arrived) > 0 && now.Sub(e.arrived[0]) > s.ToppleOver {
+			e.arrived = e.arrived[1:]
+		}
+		const slack = 3 // launches, for chance
+		if float64(len(e.arrived)) > s.Topple*w*s.JobsPerSecond*s.ToppleOver.Seconds()+slack {
+			e.toppled = true
+			e.book.Add(book.Entry{Kind: book.Toppled, Host: s.ID, N: int64(len(e.arrived))})
+			return status.Error(codes.Internal, "fallen over")
+		}
+	}
+	if e.faults.Drain || e.waiting+e.running >= s.Slots+s.Queue {
+		return status.Error(codes.ResourceExhausted, "full")
+	}
+	if e.faults.FailFast > 0 && float64(now.UnixNano()%1000)/1000 < e.faults.FailFast {
+		return status.Error(codes.Internal, "failing fast")
+	}
+	return nil
+}
+
+// enter takes a launch in, or turns it away, and acts out what makes it hang. leave must be called.
+func (e *Engine) enter(ctx context.Context, l *pb.Launch) (context.Context, func(), error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := e.arrive(); err != nil {
+		return nil, nil, err
+	}
+	e.waiting++
+	life, end := e.life, e.end
+	_ = end
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(life, cancel)
+	here := life
+	return ctx, func() {
+		stop()
+		cancel()
+		e.mu.Lock()
+		if e.life == here {
+			e.waiting--
+		}
+		e.mu.Unlock()
+	}, nil
+}
+
+// sleep waits, longer while the host is slow, as long as it pauses or hangs; its error is the context's.
+func (e *Engine) sleep(ctx context.Context, track string, t time.Duration) error {
+	left := float64(t)
+	for {
+		e.mu.Lock()
+		f, changed := e.faults, e.changed
+		e.mu.Unlock()
+		factor := max(f.Slow, 1)
+		if f.Hang || f.Paused || f.Deaf != "" && f.Deaf == track {
+			select {
+			case <-changed:
+				continue
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		if left <= 0 {
+			return ctx.Err()
+		}
+		begin := time.Now()
+		timer := time.NewTimer(time.Duration(left * factor))
+		select {
+		case <-timer.C:
+			return ctx.Err()
+		case <-changed:
+			left -= float64(time.Since(begin)) / factor
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		timer.Stop()
+	}
+}
+
+// Read implements the Engine service.
+func (e *Engine) Read(ctx context.Context, l *pb.Launch) (*pb.ReadDone, error) {
+	if e.Spec.Role == pb.Role_ROLE_WRITER {
+		return nil, status.Error(codes.Unimplemented, "a writer reads no prompts")
+	}
+	grpc.SetTrailer(ctx, e.loadReport())
+	ctx, leave, err := e.enter(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	defer leave()
+	req := l.GetRequest()
+	unread, keptTokens, err := e.read(ctx, req)
+	if err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
+	name := jobName(l.Dispatcher, l.Job)
+	st := &state{shot: l.Shot, tokens: int64(req.PromptTokens), gone: make(chan struct{})}
+	e.mu.Lock()
+	if e.used+st.tokens > e.Spec.Memory {
+		e.mu.Unlock()
+		return nil, status.Error(codes.ResourceExhausted, "no memory for the read state")
+	}
+	if old := e.states[name]; old != nil {
+		e.drop(name, "read anew")
+	}
+	e.states[name] = st
+	e.used += st.tokens
+	e.book.Add(book.Entry{Kind: book.Held, Host: e.Spec.ID, Job: name, Shot: int(l.Shot), N: st.tokens})
+	e.mu.Unlock()
+	time.AfterFunc(e.Spec.Hold, func() {
+		e.mu.Lock()
+		if e.states[name] == st {
+			e.drop(name, "ran out")
+		}
+		e.mu.Unlock()
+	})
+	return &pb.ReadDone{ReadTokens: uint32(unread), KeptTokens: uint32(keptTokens)}, nil
+}
+
+// drop lets go of a state. The lock is held.
+func (e *Engine) drop(name, why string) {
+	st := e.states[name]
+	if st == nil {
+		return
+	}
+	delete(e.states, name)
+	e.used -= st.tokens
+	close(st.gone)
+	e.book.Add(book.Entry{Kind: book.LetGo, Host: e.Spec.ID, Job: name, Shot: int(st.shot), Note: why})
+}
+
+// read reads a prompt, first come first, from where what is kept of it ends.
+func (e *Engine) read(ctx context.Context, req *pb.GenerateRequest) (unread, kept int64, err error) {
+	e.mu.Lock()
+	e.clock++
+	prompt := int64(req.PromptTokens)
+	if k := e.kept["b"+req.Tenant+"/"+req.Beginning]; k != nil && req.Beginning != "" {
+		k.used, kept = e.clock, min(k.tokens, int64(req.BeginningTokens))
+	}
+	if k := e.kept["s"+req.Tenant+"/"+req.Session]; k != nil && req.Session != "" {
+		k.used, kept = e.clock, max(kept, min(k.tokens, prompt))
+	}
+	unread = max(prompt-kept, 1)
+	e.unread += unread
+	reading, life := e.reading, e.life
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		if e.life == life {
+			e.unread -= unread
+		}
+		e.mu.Unlock()
+	}()
+	select {
+	case reading <- struct{}{}:
+	case <-ctx.Done():
+		return 0, 0, ctx.Err()
+	}
+	defer func() { <-reading }()
+	e.mu.Lock()
+	t := e.model.ReadTime(&e.Spec, unread, e.warmth())
+	e.mu.Unlock()
+	if err := e.sleep(ctx, req.Track, t); err != nil {
+		return 0, 0, err
+	}
+	e.mu.Lock()
+	if req.Beginning != "" {
+		e.keep("b"+req.Tenant+"/"+req.Beginning, int64(req.BeginningTokens))
+	}
+	if req.Session != "" {
+		e.keep("s"+req.Tenant+"/"+req.Session, prompt)
+	}
+	e.mu.Unlock()
+	return unread, kept, nil
+}
+
+// keep remembers a beginning and forgets the least recently used ones over half the memory. The lock is held.
+func (e *Engine) keep(name string, tokens int64) {
+	e.clock++
+	e.kept[name] = &keptPrefix{tokens, e.clock}
+	for {
+		total, oldest := int64(0), ""
+		for n, k := range e.kept {
+			total += k.tokens
+			if oldest == "" || k.used < e.kept[oldest].used {
+				oldest = n
+			}
+		}
+		if total <= e.Spec.Memory/2 || len(e.kept) <= 1 {
+			return
+		}
+		delete(e.kept, oldest)
+	}
+}
+
+// Write implements the Engine service.
+func (e *Engine) Write(l *pb.Launch, out grpc.ServerStreamingServer[pb.Tokens]) error {
+	out.SetTrailer(e.loadReport())
+	req := l.GetRequest()
+	if e.Spec.Role == pb.Role_ROLE_READER {
+		return status.Error(codes.Unimplemented, "a reader writes no answers")
+	}
+	if l.StateAddress == "" && e.Spec.Role != pb.Role_ROLE_MIXED {
+		return status.Error(codes.FailedPrecondition, "no state is named, and a writer reads no prompts")
+	}
+	ctx, leave, err := e.enter(out.Context(), l)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	begin := time.Now()
+	if err := e.slot(ctx); err != nil {
+		return status.FromContextError(err).Err()
+	}
+	defer e.unslot(ctx)
+	if l.BeginWithinNs > 0 && time.Since(begin) > time.Duration(l.BeginWithinNs) {
+		return status.Error(codes.DeadlineExceeded, "its time to begin is up")
+	}
+	if l.StateAddress != "" {
+		if err := e.fetch(ctx, l); err != nil {
+			return err
+		}
+	} else if _, _, err := e.read(ctx, req); err != nil {
+		return status.FromContextError(err).Err()
+	}
+	e.book.Add(book.Entry{Kind: book.Ran, Host: e.Spec.ID, Job: jobName(l.Dispatcher, l.Job), Shot: int(l.Shot),
+		Label: req.Label, Try: int(l.Repeat), Track: req.Track})
+	n := Answer(req)
+	for i := range n {
+		e.mu.Lock()
+		gap, stall := e.model.Gap(&e.Spec, e.running, e.warmth()), e.faults.StallAfter
+		e.mu.Unlock()
+		if stall > 0 && i >= stall {
+			<-ctx.Done()
+			return status.FromContextError(ctx.Err()).Err()
+		}
+		if err := e.sleep(ctx, req.Track, gap); err != nil {
+			return status.FromContextError(err).Err()
+		}
+		if err := out.Send(&pb.Tokens{Position: uint32(i), Tokens: []uint32{Tok(req, i)}, Text: []byte("tok ")}); err != nil {
+			return err
+		}
+	}
+	e.mu.Lock()
+	e.Served++
+	e.mu.Unlock()
+	return nil
+}
+
+// Answer is how many tokens a job's answer has: half of the most to all of it, by its prompt's bytes, so that
+// every host gives the same.
+func Answer(req *pb.GenerateRequest) int {
+	h := hash(req)
+	most := max(int(req.MaxTokens), 1)
+	return max(1, most/2+int(h%uint64(most/2+1)))
+}
+
+// Tok is the token at a place of a job's answer, the same at every host.
+func Tok(req *pb.GenerateRequest, i int) uint32 {
+	return uint32(hash(req)+uint64(i)*2654435761) % 50000
+}
+
+func hash(req *pb.GenerateRequest) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range []string{req.Session, req.Label, string(req.Prompt)} {
+		for i := range len(s) {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	return (h ^ uint64(req.PromptTokens)) * 1099511628211 >> 7
+}
+
+// slot waits for one of the places at which answers run.
+func (e *Engine) slot(ctx context.Context) error {
+	for {
+		e.mu.Lock()
+		if e.running < e.Spec.Slots {
+			e.running++
+			e.waiting--
+			e.mu.Unlock()
+			return nil
+		}
+		e.mu.Unlock()
+		select {
+		case <-time.After(2 * time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (e *Engine) unslot(context.Context) {
+	e.mu.Lock()
+	if e.running > 0 {
+		e.running--
+		e.waiting++ // leave takes it away
+	}
+	e.mu.Unlock()
+}
+
+// fetch gets the state of a job from the host that holds it.
+func (e *Engine) fetch(ctx context.Context, l *pb.Launch) error {
+	stateless := func(why string) error { return status.Error(codes.FailedPrecondition, "no state: "+why) }
+	e.mu.Lock()
+	peer := e.peers[l.StateAddress]
+	if peer == nil {
+		var err error
+		if peer, err = grpc.NewClient(l.StateAddress, grpc.WithTransportCredentials(insecure.NewCredentials())); err != nil {
+			e.mu.Unlock()
+			return stateless(err.Error())
+		}
+		e.peers[l.StateAddress] = peer
+	}
+	cell := e.Spec.Cell
+	e.mu.Unlock()
+	ctx = metadata.AppendToOutgoingContext(ctx, "docksail-cell", cell)
+	stream, err := pb.NewEngineClient(peer).Fetch(ctx, &pb.FetchRequest{Dispatcher: l.Dispatcher, Job: l.Job})
+	if err != nil {
+		return stateless(err.Error())
+	}
+	for {
+		_, err := stream.Recv()
+		switch {
+		case err == nil:
+		case err.Error() == "EOF":
+			return nil
+		case ctx.Err() != nil:
+			return status.FromContextError(ctx.Err()).Err()
+		default:
+			return stateless(err.Error())
+		}
+	}
+}
+
+// Fetch implements the Engine service.
+func (e *Engine) Fetch(r *pb.FetchRequest, out grpc.ServerStreamingServer[pb.StateChunk]) error {
+	name := jobName(r.Dispatcher, r.Job)
+	e.mu.Lock()
+	st := e.states[name]
+	slow := max(e.faults.LinkSlow, 1)
+	e.mu.Unlock()
+	if st == nil {
+		return status.Error(codes.NotFound, "no state of this job")
+	}
+	md, _ := metadata.FromIncomingContext(out.Context())
+	cell := ""
+	if v := md.Get("docksail-cell"); len(v) > 0 {
+		cell = v[0]
+	}
+	t := time.Duration(float64(e.model.MoveTime(&e.Spec, st.tokens, cell == e.Spec.Cell)) * slow)
+	if err := e.sleep(out.Context(), "", t); err != nil {
+		return status.FromContextError(err).Err()
+	}
+	select {
+	case <-st.gone:
+		return status.Error(codes.NotFound, "the state was let go meanwhile")
+	default:
+	}
+	if err := out.Send(&pb.StateChunk{State: make([]byte, 64), Tokens: uint32(st.tokens)}); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	if e.states[name] == st {
+		e.drop(name, "fetched")
+	}
+	e.mu.Unlock()
+	return nil
+}
+
+// Release implements the Engine service.
+func (e *Engine) Release(_ context.Context, r *pb.ReleaseRequest) (*pb.ReleaseDone, error) {
+	name := jobName(r.Dispatcher, r.Job)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if st := e.states[name]; st != nil && st.shot <= r.Shot {
+		e.drop(name, "released")
+	}
+	return &pb.ReleaseDone{}, nil
+}
+
+// loadReport is its ORCA report as a trailer.
+func (e *Engine) loadReport() metadata.MD {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	late := e.Spec.ReportLate + e.faults.ReportLate
+	if e.report == nil || time.Since(e.reportAt) >= e.Spec.ReportEvery {
+		e.report = &orca.OrcaLoadReport{MemUtilization: float64(e.used) / float64(max(e.Spec.Memory, 1)),
+			NamedMetrics: map[string]float64{"requests": float64(e.running + e.waiting), "unread_tokens": float64(e.unread)}}
+		e.reportAt = time.Now()
+	}
+	e.report.NamedMetrics["age_ms"] = float64((time.Since(e.reportAt) + late).Milliseconds())
+	b, err := proto.Marshal(e.report)
+	if err != nil {
+		return nil
+	}
+	return metadata.Pairs("endpoint-load-metrics-bin", string(b))
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -187,7 +187,7 @@
 	case n == 0:
 		c.reads = false
 		c.setInterest()
-		c.handler.HalfClosed(l.now)
+		c.handler.PeerDone(l.now)
 	default:
 		c.handler.Data(l.now, l.buf[:n])
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -33,7 +33,7 @@
 type Handler interface {
 	Opened(now Nanos)            // a connection under way is made
 	Data(now Nanos, p []byte)    // bytes came in
-	HalfClosed(now Nanos)        // the peer sends no more; the default is to Close
+	PeerDone(now Nanos)          // the peer sends no more, but may still read
 	Drained(now Nanos)           // all that was queued has been written
 	Closed(now Nanos, err error) // the connection is over; nil after Close
 }
@@ -60,6 +60,7 @@
 	conns    int
 	lag      Nanos // how long the last turn took beyond waiting
 	rests    uint64
+	again    bool
 }
 
 type source interface{ ready(l *Loop, events uint32) }
@@ -113,6 +114,9 @@
 // Lag is how long the last turn worked.
 func (l *Loop) Lag() Nanos { return l.lag }
 
+// Again has the loop turn once more without waiting: for what came up too late in this turn.
+func (l *Loop) Again() { l.again = true }
+
 // Conns counts the open connections.
 func (l *Loop) Conns() int { return l.conns }
 
@@ -206,7 +210,8 @@
 
 // patience is how long to wait for events, in whole milliseconds, rounded up.
 func (l *Loop) patience() int {
-	if len(l.dirty) > 0 || len(l.dead) > 0 {
+	if l.again || len(l.dirty) > 0 || len(l.dead) > 0 {
+		l.again = false
 		return 0
 	}
 	at, ok := l.timers.next()
@@ -239,6 +244,7 @@
 		l.dead = nil
 		for _, c := range dead {
 			c.handler.Closed(l.now, c.err)
+			l.again = true // what follows from it is for the next round
 		}
 	}
 }
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"docksail/internal/state/fleet"
 	"docksail/policy"
 )
 
@@ -34,6 +35,7 @@
 type Fleet struct {
 	Watch netip.AddrPort `json:"watch"`
 	File  string         `json:"file"`
+	Keep  string         `json:"keep"`       // file that keeps the list for the next start
 	Retry time.Duration  `json:"ask_within"` // a lost list is asked for again several times in this
 }
 
@@ -46,8 +48,8 @@
 	Payoff        float64       `json:"payoff"`
 	LatePayoff    float64       `json:"late_payoff"`
 	TokenGap      time.Duration `json:"token_gap" need:"the time wanted between tokens"`
-	Effect        effect        `json:"effect" need:"redoable, labelled or irreversible"`
-	Group         group         `json:"group"`
+	Effect        Effect        `json:"effect" need:"redoable, labelled or irreversible"`
+	Group         Group         `json:"group"`
 	Window        time.Duration `json:"window"`
 }
 
@@ -99,19 +101,21 @@
 	Output       int `json:"output_bytes"` // queued for one connection
 }
 
-type effect policy.Effect
+// Effect says what a repeated run of a job would do: redoable, labelled or irreversible.
+type Effect policy.Effect
 
-func (e *effect) UnmarshalText(b []byte) error {
+func (e *Effect) UnmarshalText(b []byte) error {
 	i, err := oneOf(string(b), "redoable", "labelled", "irreversible")
-	*e = effect(i)
+	*e = Effect(i)
 	return err
 }
 
-type group policy.Group
+// Group is the set of hosts that knows a labelled job's repeats: all, zone or cell.
+type Group policy.Group
 
-func (g *group) UnmarshalText(b []byte) error {
+func (g *Group) UnmarshalText(b []byte) error {
 	i, err := oneOf(string(b), "all", "zone", "cell")
-	*g = group(i)
+	*g = Group(i)
 	return err
 }
 
@@ -135,11 +139,7 @@
 
 // Parse reads settings; name stands for the file in errors.
 func Parse(name string, text []byte) (*Dispatcher, error) {
-	s := &Dispatcher{Count: 1, Launches: Launches{Most: 5, Recall: true, Connect: time.Second},
-		Answers: Answers{Ahead: 20 * time.Millisecond, Round: time.Millisecond, Advice: true, MaxAdvice: time.Minute},
-		Fleet:   Fleet{Retry: 4 * time.Second}, Rules: Rules{Drain: 500 * time.Millisecond}, Drain: 30 * time.Second,
-		Limits: Limits{Jobs: 20000, Connections: 20000, Streams: 10000, StreamWindow: 64 << 10, Message: 4 << 20,
-			Headers: 16 << 10, Prompt: 1 << 20, Output: 4 << 20}}
+	s := Usual()
 	d := &decoder{name: name, text: text, lines: map[string]int{}}
 	d.decode(s)
 	if len(d.errs) == 0 {
@@ -248,3 +248,75 @@
 			MaxAdvice: policy.Nanos(s.Answers.MaxAdvice)},
 		policy.Listing{Within: policy.Nanos(s.Fleet.Retry)}, policy.Nanos(s.Rules.Release))
 }
+
+// Decode reads any other text of this kind into the struct that v points to: fields by their tag json, those with
+// the tag need must be there. check may add errors about fields by their path.
+func Decode(name string, text []byte, v any, check func(bad func(path, format string, args ...any))) error {
+	d := &decoder{name: name, text: text, lines: map[string]int{}}
+	d.decode(v)
+	if len(d.errs) == 0 && check != nil {
+		check(d.bad)
+	}
+	return d.err()
+}
+
+// Usual gives the settings that hold where a file says nothing.
+func Usual() *Dispatcher {
+	return &Dispatcher{Count: 1, Launches: Launches{Most: 5, Recall: true, Connect: time.Second},
+		Answers: Answers{Ahead: 20 * time.Millisecond, Round: time.Millisecond, Advice: true, MaxAdvice: time.Minute},
+		Fleet:   Fleet{Retry: 4 * time.Second}, Rules: Rules{Drain: 500 * time.Millisecond}, Drain: 30 * time.Second,
+		Limits: Limits{Jobs: 20000, Connections: 20000, Streams: 10000, StreamWindow: 64 << 10, Message: 4 << 20,
+			Headers: 16 << 10, Prompt: 1 << 20, Output: 4 << 20}}
+}
+
+// hosts is a list of engines as a file has it.
+type hosts struct {
+	Hosts []host `json:"hosts" need:"a list of hosts"`
+}
+
+type host struct {
+	ID      int64          `json:"id" need:"a number above 0"`
+	Address netip.AddrPort `json:"address" need:"an address and port"`
+	Role    role           `json:"role" need:"reader, writer or mixed"`
+	Zone    string         `json:"zone"`
+	Cell    string         `json:"cell"`
+	Health  health         `json:"health"`
+	Started int64          `json:"started_unix_ns"`
+}
+
+type role policy.Role
+
+func (r *role) UnmarshalText(b []byte) error {
+	i, err := oneOf(string(b), "reader", "writer", "mixed")
+	*r = role(i)
+	return err
+}
+
+type health policy.Health
+
+func (h *health) UnmarshalText(b []byte) error {
+	i, err := oneOf(string(b), "serving", "draining", "gone")
+	*h = health(i)
+	return err
+}
+
+// Hosts reads a list of engines; name stands for the file in errors.
+func Hosts(name string, text []byte) ([]fleet.Host, error) {
+	var in hosts
+	d := &decoder{name: name, text: text, lines: map[string]int{}}
+	d.decode(&in)
+	var list []fleet.Host
+	seen := map[int64]bool{}
+	for i, h := range in.Hosts {
+		if h.ID < 1 || h.ID > 1<<32-1 || seen[h.ID] {
+			d.bad(fmt.Sprintf("hosts[%d].id", i), "%d is out of range or stands twice, want a number of its own above 0", h.ID)
+		}
+		seen[h.ID] = true
+		list = append(list, fleet.Host{ID: policy.HostID(h.ID), Address: h.Address, Role: policy.Role(h.Role), Zone: h.Zone,
+			Cell: h.Cell, Health: policy.Health(h.Health), Started: h.Started})
+	}
+	if err := d.err(); err != nil {
+		return nil, err
+	}
+	return list, nil
+}
--- /dev/null
+++ b/internal/state/fleet/fleet.go
@@ -0,0 +1,216 @@
+// Package fleet keeps the list of engines as this dispatcher was told it: full lists, changes by version, the
+// names of zones and cells by number. It is kept in a file as well, from which a dispatcher that was killed
+// starts again with what it knew.
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"docksail/policy"
+)
+
+// Host is one engine of the list.
+type Host struct {
+	ID      policy.HostID  `json:"id"`
+	Address netip.AddrPort `json:"address"`
+	Role    policy.Role    `json:"role"`
+	Zone    string         `json:"zone"`
+	Cell    string         `json:"cell"`
+	Health  policy.Health  `json:"health"`
+	Started int64          `json:"started_unix_ns"` // 0 = long ago, or not told
+}
+
+// ErrGap says that changes were missed: only a full list helps.
+var ErrGap = errors.New("changes of the list were missed")
+
+// List is what is known. Make it with New.
+type List struct {
+	version uint64
+	whole   bool // a full list has come
+	hosts   map[policy.HostID]Host
+	zones   map[string]policy.ZoneID
+	cells   map[[2]string]policy.CellID
+}
+
+// New makes a list that knows nothing.
+func New() *List {
+	return &List{hosts: make(map[policy.HostID]Host), zones: make(map[string]policy.ZoneID),
+		cells: make(map[[2]string]policy.CellID)}
+}
+
+// Zone is the number of a zone's name, given at its first mention.
+func (l *List) Zone(name string) policy.ZoneID {
+	n, ok := l.zones[name]
+	if !ok {
+		n = policy.ZoneID(len(l.zones))
+		l.zones[name] = n
+	}
+	return n
+}
+
+// Cell is the number of a cell's name within its zone.
+func (l *List) Cell(zone, cell string) policy.CellID {
+	n, ok := l.cells[[2]string{zone, cell}]
+	if !ok {
+		n = policy.CellID(len(l.cells))
+		l.cells[[2]string{zone, cell}] = n
+	}
+	return n
+}
+
+// Find gives a host that was ever listed.
+func (l *List) Find(id policy.HostID) (Host, bool) {
+	h, ok := l.hosts[id]
+	return h, ok
+}
+
+// Version is that of the last news.
+func (l *List) Version() uint64 { return l.version }
+
+// Hosts gives all that were ever listed, by id.
+func (l *List) Hosts() []Host {
+	hs := make([]Host, 0, len(l.hosts))
+	for _, h := range l.hosts {
+		hs = append(hs, h)
+	}
+	slices.SortFunc(hs, func(a, b Host) int { return int(int64(a.ID) - int64(b.ID)) })
+	return hs
+}
+
+// Take applies news whole or not at all: ErrGap where changes before it were missed or no full list has come
+// yet; changes that are known already are no error and change nothing. It gives the entries that are to be told
+// on, those that a full list no longer names as gone. An entry older than what is known of its host's start is
+// left out: it crossed with the news of a restart.
+func (l *List) Take(version uint64, full bool, hosts []Host) ([]Host, error) {
+	if !full {
+		switch {
+		case !l.whole || version > l.version+1:
+			return nil, ErrGap
+		case version <= l.version:
+			return nil, nil
+		}
+	}
+	for _, h := range hosts {
+		if !h.Address.IsValid() || h.Address.Port() == 0 {
+			return nil, fmt.Errorf("host %d: address %v is none", h.ID, h.Address)
+		}
+		if h.Role > policy.Mixed {
+			return nil, fmt.Errorf("host %d: role %d is unknown", h.ID, h.Role)
+		}
+	}
+	var told []Host
+	named := make(map[policy.HostID]bool, len(hosts))
+	for _, h := range hosts {
+		named[h.ID] = true
+		if was, ok := l.hosts[h.ID]; ok {
+			if h.Started == 0 { // not told, as of a host that is gone
+				h.Started = was.Started
+			} else if h.Started < was.Started {
+				continue
+			}
+		}
+		l.hosts[h.ID] = h
+		told = append(told, h)
+	}
+	if full {
+		for _, h := range l.Hosts() {
+			if !named[h.ID] && h.Health != policy.Gone {
+				h.Health = policy.Gone
+				l.hosts[h.ID] = h
+				told = append(told, h)
+			}
+		}
+		l.whole = true
+	}
+	l.version = version
+	return told, nil
+}
+
+// kept is the list as a file has it.
+type kept struct {
+	Format  int    `json:"format"`
+	Version uint64 `json:"version"`
+	Hosts   []Host `json:"hosts"`
+}
+
+const format = 1
+
+// Encode gives the list as Load reads it: a line with a digest, then the list.
+func (l *List) Encode() []byte {
+	body, err := json.Marshal(kept{format, l.version, l.Hosts()})
+	if err != nil {
+		panic(err) // no type in it can fail
+	}
+	sum := sha256.Sum256(body)
+	return append([]byte(hex.EncodeToString(sum[:])+"\n"), body...)
+}
+
+// Save writes an encoded list so that a crash at any point leaves the old file or the new one, whole.
+func Save(name string, encoded []byte) (err error) {
+	f, err := os.CreateTemp(filepath.Dir(name), filepath.Base(name)+".*")
+	if err != nil {
+		return err
+	}
+	defer func() {
+		if err != nil {
+			f.Close()
+			os.Remove(f.Name())
+		}
+	}()
+	if _, err = f.Write(encoded); err != nil {
+		return err
+	}
+	if err = f.Sync(); err != nil {
+		return err
+	}
+	if err = f.Close(); err != nil {
+		return err
+	}
+	if err = os.Rename(f.Name(), name); err != nil {
+		return err
+	}
+	dir, err := os.Open(filepath.Dir(name))
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return dir.Sync()
+}
+
+// Load reads what Save wrote into an empty list and gives its hosts. A file that is damaged or of another
+// format is named in the error, and nothing of it is taken.
+func (l *List) Load(name string) ([]Host, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	const digest = 2 * sha256.Size
+	if len(text) < digest+1 {
+		return nil, fmt.Errorf("%s: cut off after %d bytes", name, len(text))
+	}
+	sum := sha256.Sum256(text[digest+1:])
+	if hex.EncodeToString(sum[:]) != string(text[:digest]) {
+		return nil, fmt.Errorf("%s: damaged, its digest is another", name)
+	}
+	var k kept
+	if err := json.Unmarshal(text[digest+1:], &k); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if k.Format != format {
+		return nil, fmt.Errorf("%s: format %d, want %d", name, k.Format, format)
+	}
+	told, err := l.Take(k.Version, true, k.Hosts)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	l.whole = false // what was missed since is not known
+	return told, nil
+}
