Five rules broken on purpose are caught; reads cut off are let go over another connection

Cause: servers end a connection at the fourth ping without answers, which lost a read that had just ended; its state stayed at the reader for 8.5 s.

--- a/internal/decide/links/links.go
+++ b/internal/decide/links/links.go
@@ -9,7 +9,8 @@
 	Making bool  // under way
 	Out    int   // launches on it
 	Heard  int64 // last sign of life
-	Asked  int64 // a ping is out since then; 0 = none
+	Asked  int64 // the last ping was sent then; 0 = none
+	Asks   int   // pings since the engine last sent something of its own
 	Used   int64 // last launch sent or ended
 }
 
@@ -56,7 +57,11 @@
 type Keeper struct{ Expected int64 }
 
 const (
-	askAfter   = 4  // of an expected time is a quarter: unheard for so long with launches out, it is asked
+	askAfter = 4 // of an expected time is a quarter: unheard for so long with launches out, it is asked
+	// asksMost pings may go unanswered by anything but their like, and then one in askRest: servers commonly end
+	// a connection at the fourth ping within five minutes in which they sent nothing.
+	asksMost   = 2
+	askRest    = 305 * 1e9
 	deadAfter  = 1  // expected time unheard after the ping: the network loses a packet or two in that
 	spareAfter = 60 // expected times unused
 )
@@ -75,7 +80,11 @@
 		}
 		return Spare, 0
 	}
-	if at := max(l.Heard, l.Asked) + k.Expected/askAfter; now < at {
+	wait := k.Expected / askAfter
+	if l.Asks >= asksMost {
+		wait = askRest
+	}
+	if at := max(l.Heard, l.Asked) + wait; now < at {
 		return Keep, at
 	}
 	return Ask, now + deadAfter*k.Expected
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -84,7 +84,8 @@
 // Counts are what a dispatcher counted since its start.
 type Counts struct {
 	Jobs, Honoured, Nacked, Abandoned, Left, Refused uint64
-	Launches, Recalls, Late, Broken, Releases        uint64
+	Launches, Recalls, Late, Broken                  uint64
+	Releases, ReleasesLost                           uint64
 	Tokens                                           uint64 // messages relayed
 	LateReports, Reports                             uint64
 	Guarded                                          uint64 // decisions that the account of a job refused: faults of the program
@@ -371,7 +372,9 @@
 	case policy.LetGo:
 		if at, held := j.Held(); held {
 			j.LetGo()
-			d.release(j, at)
+			if e := d.engines[at]; e != nil {
+				e.letGo(now, nil, j.ID, policy.Shot(j.Launches()-1))
+			}
 		}
 	default:
 		panic(fmt.Sprintf("decision with unknown verb %d", what.Verb))
@@ -478,7 +481,9 @@
 		k.used = now
 		k.touch()
 	}
-	on, cut := j.on, j.stream != nil && j.reads && how != policy.Read
+	// A read that was cut off may have ended all the same: what it left is let go.
+	on := j.on
+	cut := j.reads && (j.stream != nil || how == policy.Broken || how == policy.Late)
 	j.on, j.stream, j.waits = nil, nil, 0
 	j.End(shot)
 	switch how {
@@ -487,23 +492,12 @@
 	case policy.Broken:
 		d.Counts.Broken++
 	}
-	if cut { // the read may have ended while this crossed with it: what it left is let go
-		d.Counts.Releases++
-		on.sendRelease(j.ID, shot)
+	if e := d.engines[j.host]; cut && e != nil {
+		e.letGo(now, on, j.ID, shot)
 	}
 	d.mod.LaunchEnded(d.time(now), j.ID, shot, how, policy.Nanos(now-j.sent), over || j.Answered(), load)
 }
 
-// release lets go of what a host holds for a job.
-func (d *Dispatcher) release(j *job, at policy.HostID) {
-	d.Counts.Releases++
-	if e := d.engines[at]; e != nil {
-		if k := e.readyLink(); k != nil {
-			k.sendRelease(j.ID, policy.Shot(j.Launches()-1))
-		}
-	}
-}
-
 // Door gives what the clients' door counted.
 func (d *Dispatcher) Door() front.Counts { return d.clients.Counts }
 
@@ -517,7 +511,7 @@
 		from uint64
 	}{{&c.Jobs, o.Jobs}, {&c.Honoured, o.Honoured}, {&c.Nacked, o.Nacked}, {&c.Abandoned, o.Abandoned}, {&c.Left, o.Left},
 		{&c.Refused, o.Refused}, {&c.Launches, o.Launches}, {&c.Recalls, o.Recalls}, {&c.Late, o.Late}, {&c.Broken, o.Broken},
-		{&c.Releases, o.Releases}, {&c.Tokens, o.Tokens}, {&c.LateReports, o.LateReports}, {&c.Reports, o.Reports},
+		{&c.Releases, o.Releases}, {&c.ReleasesLost, o.ReleasesLost}, {&c.Tokens, o.Tokens}, {&c.LateReports, o.LateReports}, {&c.Reports, o.Reports},
 		{&c.Guarded, o.Guarded}, {&c.Pings, o.Pings}, {&c.DeadLinks, o.DeadLinks}} {
 		*f.to += f.from
 	}
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -36,6 +36,7 @@
 	name  string // its address, as :authority has it
 	role  policy.Role
 	links []*link
+	owed  []owed
 }
 
 // linkFor gives the connection for a launch; nil if there may be none.
@@ -75,6 +76,31 @@
 	return nil
 }
 
+// owed is something to be let go of that found no connection.
+type owed struct {
+	job  policy.JobID
+	shot policy.Shot
+}
+
+const mostOwed = 1024 // more of them are left to the engine's own time
+
+// letGo has what a launch left at the engine let go: now, or as soon as there is a connection.
+func (e *engine) letGo(now loop.Nanos, on *link, id policy.JobID, shot policy.Shot) {
+	e.d.Counts.Releases++
+	if on == nil || on.gone || on.past || !on.h.CanOpen() { // the launch's own keeps the order
+		on = e.readyLink()
+	}
+	if on != nil {
+		on.sendRelease(id, shot)
+		return
+	}
+	if len(e.owed) >= mostOwed || e.linkFor(now) == nil {
+		e.d.Counts.ReleasesLost++
+		return
+	}
+	e.owed = append(e.owed, owed{id, shot})
+}
+
 // link is one connection to an engine.
 type link struct {
 	d      *Dispatcher
@@ -90,6 +116,7 @@
 	now    loop.Nanos
 	heard  loop.Nanos
 	asked  loop.Nanos
+	asks   int
 	used   loop.Nanos
 	timer  loop.Timer
 	onKeep func(loop.Nanos)
@@ -97,7 +124,7 @@
 
 func (k *link) facts() links.Link {
 	return links.Link{Ready: k.ready && !k.past && k.h.CanOpen(), Making: !k.ready && !k.gone && !k.past, Out: k.out, Heard: k.heard,
-		Asked: k.asked, Used: k.used}
+		Asked: k.asked, Asks: k.asks, Used: k.used}
 }
 
 func (k *link) touch() {
@@ -131,6 +158,7 @@
 	case links.Ask:
 		k.d.Counts.Pings++
 		k.asked = now
+		k.asks++
 		k.h.Ping()
 		k.touch()
 	case links.Dead:
@@ -162,6 +190,12 @@
 			}
 		}
 	}
+	for _, o := range k.e.owed {
+		if k.h.CanOpen() {
+			k.sendRelease(o.job, o.shot)
+		}
+	}
+	k.e.owed = k.e.owed[:0]
 	k.touch()
 	k.d.l.At(&k.timer, now+k.d.keeper.Expected, k.onKeep)
 }
@@ -192,6 +226,8 @@
 	}
 	if !k.ready {
 		d.log.Info("engine not reached", "host", k.e.id, "err", err)
+		d.Counts.ReleasesLost += uint64(len(k.e.owed)) // its process has ended, or lets go by its own time
+		k.e.owed = k.e.owed[:0]
 		queue := k.queue
 		k.queue = nil
 		for _, id := range queue {
@@ -254,9 +290,6 @@
 // sendRelease lets go of what a host holds. Nothing waits for the answer: if it is lost with its connection, the
 // engine lets go by its own time.
 func (k *link) sendRelease(id policy.JobID, shot policy.Shot) {
-	if !k.h.CanOpen() {
-		return
-	}
 	s := k.h.OpenStream(pathRelease, k.e.name, k.d.keeper.Expected)
 	b := k.d.scratch[:0]
 	b = protowire.AppendTag(b, 1, protowire.VarintType)
@@ -283,9 +316,10 @@
 	return nil
 }
 
-func (k *link) Headers(*h2.Stream, *h2.Header) {}
+func (k *link) Headers(*h2.Stream, *h2.Header) { k.asks = 0 }
 
 func (k *link) Message(s *h2.Stream, p []byte) bool {
+	k.asks = 0
 	j := k.job(s)
 	if j == nil || j.reads {
 		return false
@@ -310,6 +344,7 @@
 func (k *link) HalfClosed(*h2.Stream) {}
 
 func (k *link) Finished(s *h2.Stream, code codes.Code, _ string, trailer *h2.Header) {
+	k.asks = 0
 	j := k.job(s)
 	if j == nil {
 		return
@@ -371,7 +406,7 @@
 // GoingAway: the engine wants no more on this connection; what runs on it ends there.
 func (k *link) GoingAway() { k.touch() }
 
-func (k *link) Pong() { k.asked = 0 }
+func (k *link) Pong() {}
 
 // load reads an ORCA report from a trailer; one that is too old counts as none.
 func (d *Dispatcher) load(trailer *h2.Header) policy.Load {
--- a/internal/dispatch/lister.go
+++ b/internal/dispatch/lister.go
@@ -32,6 +32,7 @@
 	open   bool
 	heard  loop.Nanos
 	asked  loop.Nanos
+	asks   int
 	timer  loop.Timer
 	stamp  time.Time
 	keeps  chan []byte
@@ -148,7 +149,7 @@
 }
 
 func (w *lister) Opened(now loop.Nanos) {
-	w.now, w.heard, w.asked, w.open = now, now, 0, true
+	w.now, w.heard, w.asked, w.asks, w.open = now, now, 0, 0, true
 	s := w.h.OpenStream(pathWatch, w.addr.String(), 0)
 	b, err := proto.Marshal(&pb.WatchRequest{})
 	if err != nil {
@@ -164,10 +165,12 @@
 	if w.lc == nil {
 		return
 	}
-	verdict, again := links.Keeper{Expected: w.every}.Judge(now, links.Link{Ready: true, Out: 1, Heard: w.heard, Asked: w.asked})
+	verdict, again := links.Keeper{Expected: w.every}.Judge(now, links.Link{Ready: true, Out: 1, Heard: w.heard,
+		Asked: w.asked, Asks: w.asks})
 	switch verdict {
 	case links.Ask:
 		w.asked = now
+		w.asks++
 		w.h.Ping()
 		w.lc.Write(w.h.Take())
 	case links.Dead:
@@ -202,6 +205,7 @@
 func (w *lister) Headers(*h2.Stream, *h2.Header) {}
 
 func (w *lister) Message(s *h2.Stream, p []byte) bool {
+	w.asks = 0
 	var news pb.FleetNews
 	err := proto.Unmarshal(p, &news)
 	if err == nil {
@@ -255,7 +259,7 @@
 }
 func (w *lister) Room(*h2.Stream) {}
 func (w *lister) GoingAway()      {}
-func (w *lister) Pong()           { w.asked = 0 }
+func (w *lister) Pong()           {}
 
 // poll reads the file again when it has changed, beside the loop.
 func (w *lister) poll(now loop.Nanos) {
--- /dev/null
+++ b/internal/e2e/rules_test.go
@@ -0,0 +1,185 @@
+// Package e2e holds tests that play real dispatchers on loopback sockets against stand-ins.
+package e2e
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"docksail/internal/dispatch"
+	"docksail/internal/lab/drill"
+	"docksail/policy"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// day is a small day that the tests change.
+const day = `{
+  "for": "5s", "sessions_per_second": 25, "lister_late": "50ms", "release_within": "300ms", "launches": 5,
+  "cold_start": {"from": 0.2, "warm_after": "6s", "topples_at": 2, "topples_over": "1s"},
+  "fleet": [
+    {"count": 2, "role": "reader", "zone": "a", "cell": "a1", "slots": 8, "queue": 60, "reads_per_second": 30000, "jobs_per_second": 5},
+    {"count": 2, "role": "writer", "zone": "a", "cell": "a1", "slots": 16, "queue": 60, "token_gap": "5ms", "jobs_per_second": 5}
+  ],
+  "dispatchers": [{"zone": "a"}],
+  "tracks": [
+    {"name": "question", "share": 0.7, "expected": "600ms", "patience": "2s", "token_gap": "50ms", "effect": "redoable",
+     "prompt": 100, "prompt_most": 600, "answer": 20, "retries": 1},
+    {"name": "booking", "share": 0.3, "expected": "600ms", "patience": "2s", "token_gap": "50ms", "effect": "irreversible",
+     "prompt": 100, "prompt_most": 600, "answer": 20, "retries": 1}
+  ],
+  "troubles": [TROUBLES]
+}`
+
+func play(t *testing.T, troubles string, wrap func(dispatch.Module) dispatch.Module) *drill.Report {
+	t.Helper()
+	s, err := drill.Parse("day", []byte(strings.Replace(day, "TROUBLES", troubles, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return playScript(t, s, wrap)
+}
+
+func playScript(t *testing.T, s *drill.Script, wrap func(dispatch.Module) dispatch.Module) *drill.Report {
+	t.Helper()
+	st, err := drill.OpenWith(s, quiet, func(int) func(dispatch.Module) dispatch.Module { return wrap })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer st.Close()
+	rep, err := st.Play(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	rep.Print(&out)
+	t.Log("\n" + out.String())
+	return rep
+}
+
+// broken tells whether a run broke a rule.
+func broken(rep *drill.Report, rule int) bool {
+	for _, v := range rep.Violations {
+		if v.Rule == rule {
+			return true
+		}
+	}
+	return false
+}
+
+// A module that breaks a rule on purpose must be caught, and the same day without it must be clean.
+
+type dropsAnswers struct {
+	dispatch.Module
+	n int
+}
+
+func (m *dropsAnswers) JobArrived(now policy.Nanos, j policy.Job) {
+	if m.n++; m.n%7 != 0 {
+		m.Module.JobArrived(now, j)
+	}
+}
+
+type runsTwice struct{ dispatch.Module }
+
+func (m runsTwice) LaunchEnded(now policy.Nanos, id policy.JobID, shot policy.Shot, how policy.Outcome, elapsed policy.Nanos, over bool, load policy.Load) {
+	if how == policy.Failed || how == policy.Broken || how == policy.Late {
+		how = policy.Unreachable // as if it had never run
+	}
+	m.Module.LaunchEnded(now, id, shot, how, elapsed, over, load)
+}
+
+type ignoresDrains struct{ dispatch.Module }
+
+func (m ignoresDrains) HostListed(id policy.HostID, zone policy.ZoneID, kind policy.KindID, cell policy.CellID, h policy.Health, at policy.Nanos) {
+	if h == policy.Draining {
+		h = policy.Serving
+	}
+	m.Module.HostListed(id, zone, kind, cell, h, at)
+}
+
+type floodsCold struct{ dispatch.Module }
+
+func (m floodsCold) HostListed(id policy.HostID, zone policy.ZoneID, kind policy.KindID, cell policy.CellID, h policy.Health, _ policy.Nanos) {
+	m.Module.HostListed(id, zone, kind, cell, h, 0)
+}
+
+type neverLetsGo struct{ dispatch.Module }
+
+func (m neverLetsGo) Next(now policy.Nanos) (policy.Decision, bool) {
+	for {
+		what, ok := m.Module.Next(now)
+		if !ok || what.Verb != policy.LetGo {
+			return what, ok
+		}
+	}
+}
+
+func TestCheckerCatches(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		rule     int
+		troubles string
+		wrap     func(dispatch.Module) dispatch.Module
+	}{
+		{"an answer dropped", 1, ``, func(m dispatch.Module) dispatch.Module { return &dropsAnswers{Module: m} }},
+		{"an effect twice", 2, `{"kind": "errors", "at": "1s", "for": "3s", "hosts": [3, 4], "factor": 0.5}`,
+			func(m dispatch.Module) dispatch.Module { return runsTwice{m} }},
+		{"a drain ignored", 3, `{"kind": "drain", "at": "1s", "for": "6s", "hosts": [4]}`,
+			func(m dispatch.Module) dispatch.Module { return ignoresDrains{m} }},
+		{"a cold host flooded", 4, `{"kind": "crash", "at": "500ms", "for": "500ms", "hosts": [1]},
+			{"kind": "crash", "at": "500ms", "for": "500ms", "hosts": [2]}`,
+			func(m dispatch.Module) dispatch.Module { return floodsCold{m} }},
+		{"a state never let go", 5, `{"kind": "hang", "at": "1s", "for": "3s", "hosts": [3, 4]}`,
+			func(m dispatch.Module) dispatch.Module { return neverLetsGo{m} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			if rep := play(t, c.troubles, c.wrap); !broken(rep, c.rule) {
+				t.Errorf("rule %d was broken on purpose and not caught", c.rule)
+			}
+		})
+		t.Run(c.name+", not", func(t *testing.T) {
+			t.Parallel()
+			if rep := play(t, c.troubles, nil); len(rep.Violations) > 0 || rep.Counts.Guarded > 0 {
+				t.Errorf("rules broken by the module as it is: %v, %d decisions refused", rep.Violations, rep.Counts.Guarded)
+			}
+		})
+	}
+}
+
+// TestBadDay is the scripted bad day: all five rules kept, every answer whole.
+func TestBadDay(t *testing.T) {
+	text, err := os.ReadFile("../lab/drill/testdata/badday.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := drill.Parse("badday.json", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := playScript(t, s, nil)
+	for _, v := range rep.Violations {
+		t.Error(v)
+	}
+	if rep.Counts.Guarded > 0 {
+		t.Errorf("the account of a job refused %d decisions", rep.Counts.Guarded)
+	}
+	names := []string{}
+	for name, sum := range rep.Sums {
+		names = append(names, name)
+		if sum.Wrong > 0 {
+			t.Errorf("track %s: %d answers were not whole", name, sum.Wrong)
+		}
+		if sum.Honoured < sum.Jobs/2 {
+			t.Errorf("track %s: %d of %d jobs honoured, want half at least", name, sum.Honoured, sum.Jobs)
+		}
+	}
+	if slices.Sort(names); len(names) != 4 {
+		t.Errorf("tracks %v, want four", names)
+	}
+}
--- a/internal/lab/drill/stage.go
+++ b/internal/lab/drill/stage.go
@@ -41,6 +41,7 @@
 	sets    []*setup.Dispatcher
 	health  map[int]pb.Health
 	counts  []dispatch.Counts // of the lives that ended
+	began   time.Time
 }
 
 // Open starts a day's parties.
@@ -62,6 +63,7 @@
 		if err := e.Start("127.0.0.1:0"); err != nil {
 			return st, err
 		}
+		e.Warm()
 		st.Engines = append(st.Engines, e)
 		st.health[spec.ID] = pb.Health_HEALTH_SERVING
 	}
@@ -81,6 +83,7 @@
 		}
 		st.relays = append(st.relays, rs)
 	}
+	st.began = time.Now()
 	for i := range st.Engines {
 		st.list(i, true, 0) // they have run for long
 	}
@@ -223,6 +226,15 @@
 	st.list(i, false, at.UnixNano())
 }
 
+// since is the start of a host's process as the list has it: 0 for those that ran before the day.
+func (st *Stage) since(e *engine.Engine) int64 {
+	at, _ := e.Started()
+	if at.Before(st.began) {
+		return 0
+	}
+	return at.UnixNano()
+}
+
 // on gives the hosts of a trouble.
 func (st *Stage) on(t Trouble, rng *rand.Rand) []int {
 	if len(t.Hosts) > 0 {
@@ -366,7 +378,7 @@
 	gone := func(i int, e *engine.Engine) {
 		e.Crash()
 		st.health[e.Spec.ID] = pb.Health_HEALTH_GONE
-		st.list(i, false, 0)
+		st.list(i, false, st.since(e))
 	}
 	all := func(int) bool { return true }
 	switch t.Kind {
@@ -431,7 +443,7 @@
 	case "drain":
 		each(func(i int, e *engine.Engine) {
 			st.health[e.Spec.ID] = pb.Health_HEALTH_DRAINING
-			st.list(i, false, 0)
+			st.list(i, false, st.since(e))
 		})
 		sleep(ctx, t.For*2/3)
 		each(gone)
--- a/internal/lab/engine/engine.go
+++ b/internal/lab/engine/engine.go
@@ -164,6 +164,13 @@
 	return nil
 }
 
+// Warm has it count as started long ago.
+func (e *Engine) Warm() {
+	e.mu.Lock()
+	e.started = e.started.Add(-24 * time.Hour)
+	e.mu.Unlock()
+}
+
 // Crash ends its process at once: connections are reset, all that it held is gone.
 func (e *Engine) Crash() {
 	e.mu.Lock()
