--- a/internal/h2/h2.go
+++ b/internal/h2/h2.go
@@ -159,7 +159,7 @@
 	c.fr.SetReuseFrames()
 	c.fr.SetMaxReadFrameSize(16384)
 	c.dec = hpack.NewDecoder(4096, c.field)
-	c.dec.SetMaxStringLength(int(lim.HeaderBytes))
+	c.dec.SetMaxStringLength(4 * int(lim.HeaderBytes)) // longer than a list may be: it is refused, not the connection
 	c.enc = hpack.NewEncoder(&c.encBuf)
 	set := []http2.Setting{{ID: http2.SettingInitialWindowSize, Val: lim.StreamWindow},
 		{ID: http2.SettingMaxHeaderListSize, Val: lim.HeaderBytes}}
@@ -271,7 +271,9 @@
 		if err == nil {
 			err = c.frame(f)
 		}
-		c.handle(err)
+		if err != nil {
+			c.handle(err)
+		}
 	}
 	if c.over != nil {
 		c.in = nil
@@ -294,7 +296,6 @@
 	var ce http2.ConnectionError
 	var mine connError
 	switch {
-	case err == nil:
 	case errors.As(err, &se):
 		if !c.guard.Allow(c.now, flood.Fault) {
 			c.fail(connError{http2.ErrCodeEnhanceYourCalm, "too many stream errors"})
