--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -101,6 +101,21 @@
 	e.owed = append(e.owed, owed{id, shot})
 }
 
+// unqueue ends launches that wait for a connection: the host drains, and by the time the connection is made it
+// may be too late to send them.
+func (e *engine) unqueue(now loop.Nanos) {
+	for _, k := range e.links {
+		queue := k.queue
+		k.queue = nil
+		for _, id := range queue {
+			if j := e.d.jobs.Find(id); j != nil && j.on == k && j.stream == nil {
+				e.d.ended(now, j, policy.NotSent, false, policy.NoLoad)
+				e.d.settle(j)
+			}
+		}
+	}
+}
+
 // link is one connection to an engine.
 type link struct {
 	d      *Dispatcher
--- a/internal/dispatch/lister.go
+++ b/internal/dispatch/lister.go
@@ -110,6 +110,9 @@
 				k.past = true
 			}
 		}
+		if h.Health != policy.Serving {
+			e.unqueue(now)
+		}
 		started := policy.Nanos(0)
 		if h.Started > 0 {
 			started = min(policy.Nanos(h.Started), d.time(now)) // a clock ahead of ours
--- a/internal/e2e/rules_test.go
+++ b/internal/e2e/rules_test.go
@@ -20,10 +20,10 @@
 // day is a small day that the tests change.
 const day = `{
   "for": "5s", "sessions_per_second": 25, "lister_late": "50ms", "release_within": "300ms", "launches": 5,
-  "cold_start": {"from": 0.2, "warm_after": "6s", "topples_at": 2, "topples_over": "1s"},
+  "cold_start": {"from": 0.1, "warm_after": "6s", "topples_at": 1.2, "topples_over": "1s"},
   "fleet": [
-    {"count": 2, "role": "reader", "zone": "a", "cell": "a1", "slots": 8, "queue": 60, "reads_per_second": 30000, "jobs_per_second": 5},
-    {"count": 2, "role": "writer", "zone": "a", "cell": "a1", "slots": 16, "queue": 60, "token_gap": "5ms", "jobs_per_second": 5}
+    {"count": 2, "role": "reader", "zone": "a", "cell": "a1", "slots": 8, "queue": 60, "reads_per_second": 7000, "jobs_per_second": 17},
+    {"count": 2, "role": "writer", "zone": "a", "cell": "a1", "slots": 16, "queue": 60, "token_gap": "5ms", "jobs_per_second": 40}
   ],
   "dispatchers": [{"zone": "a"}],
   "tracks": [
@@ -104,8 +104,12 @@
 
 type floodsCold struct{ dispatch.Module }
 
-func (m floodsCold) HostListed(id policy.HostID, zone policy.ZoneID, kind policy.KindID, cell policy.CellID, h policy.Health, _ policy.Nanos) {
-	m.Module.HostListed(id, zone, kind, cell, h, 0)
+func (m floodsCold) Next(now policy.Nanos) (policy.Decision, bool) {
+	what, ok := m.Module.Next(now)
+	if what.Verb == policy.Launch && what.Host == 2 {
+		what.Host = 1 // all that is read goes to one reader, cold or not
+	}
+	return what, ok
 }
 
 type neverLetsGo struct{ dispatch.Module }
@@ -131,8 +135,7 @@
 			func(m dispatch.Module) dispatch.Module { return runsTwice{m} }},
 		{"a drain ignored", 3, `{"kind": "drain", "at": "1s", "for": "6s", "hosts": [4]}`,
 			func(m dispatch.Module) dispatch.Module { return ignoresDrains{m} }},
-		{"a cold host flooded", 4, `{"kind": "crash", "at": "500ms", "for": "500ms", "hosts": [1]},
-			{"kind": "crash", "at": "500ms", "for": "500ms", "hosts": [2]}`,
+		{"a cold host flooded", 4, `{"kind": "crash", "at": "500ms", "for": "500ms", "hosts": [1]}`,
 			func(m dispatch.Module) dispatch.Module { return floodsCold{m} }},
 		{"a state never let go", 5, `{"kind": "hang", "at": "1s", "for": "3s", "hosts": [3, 4]}`,
 			func(m dispatch.Module) dispatch.Module { return neverLetsGo{m} }},
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -187,6 +187,10 @@
 	at := rng.IntN(len(r.conns))
 	for try := 0; ; try++ {
 		left := t.Patience + 2*t.Per1k*time.Duration(req.PromptTokens)/1000 - time.Since(begin)
+		if left <= 0 {
+			sum(func(s *Sum) { s.Nacked++ }) // it waited as it was told, and its time was up
+			return 0, false
+		}
 		sum(func(s *Sum) { s.Tries++ })
 		target := r.conns[at][int(r.turn.Add(1))%len(r.conns[at])]
 		res := r.try(ctx, target, t, req, try, left, rng)
--- a/internal/lab/drill/stage.go
+++ b/internal/lab/drill/stage.go
@@ -133,6 +133,36 @@
 	return nil
 }
 
+// Kill ends dispatcher n outright; Restart starts it again with the list that it kept.
+func (st *Stage) Kill(n int) { st.killDispatcher(n) }
+
+// Restart starts dispatcher n again on its address.
+func (st *Stage) Restart(n int) error { return st.startDispatcher(n) }
+
+// Listers stops, or starts again, all listers.
+func (st *Stage) Listers(run bool) error {
+	for _, l := range st.listers {
+		if !run {
+			l.Stop()
+		} else if err := l.Start(""); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Tell has the listers tell of a host's health at once.
+func (st *Stage) Tell(host int, health pb.Health) {
+	st.health[host] = health
+	st.list(host-1, true, st.since(st.Engines[host-1]))
+}
+
+// Relays are those of dispatcher n, by host.
+func (st *Stage) Relays(n int) []*relay.Relay { return st.relays[n] }
+
+// Check judges what has passed so far.
+func (st *Stage) Check() []rules.Violation { return rules.Check(st.Book.Entries(), st.Script.facts()) }
+
 func (st *Stage) killDispatcher(n int) {
 	st.mu.Lock()
 	r := st.disp[n]
