--- a/cmd/docksail/lab.go
+++ b/cmd/docksail/lab.go
@@ -15,11 +15,12 @@
 	pb "docksail/api/docksail/v1"
 	"docksail/internal/lab/book"
 	"docksail/internal/lab/drill"
+	"docksail/internal/lab/measure"
 )
 
 func labCommand() *cobra.Command {
 	lab := &cobra.Command{Use: "lab", Short: "Play with stand-ins on loopback"}
-	lab.AddCommand(demoCommand(), drillCommand())
+	lab.AddCommand(demoCommand(), drillCommand(), importCommand(), measureCommand(), enginesCommand(), baselineCommand())
 	return lab
 }
 
@@ -120,3 +121,89 @@
 	c.Flags().StringVar(&entries, "entries", "", "write what passed on the sockets to this file")
 	return c
 }
+
+func measureCommand() *cobra.Command {
+	p := measure.Plan{}
+	c := &cobra.Command{
+		Use:   "measure",
+		Short: "Measure a dispatcher beside the plain relay and no relay: CPU, added time, memory",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			p.Binary, p.Progress = self, c.OutOrStdout()
+			return measure.Run(c.Context(), p)
+		},
+	}
+	c.Flags().IntSliceVar(&p.Streams, "streams", []int{100, 1000, 5000}, "streams at once, one pass for each")
+	c.Flags().DurationVar(&p.Gap, "gap", 50*time.Millisecond, "time between the tokens of a stream")
+	c.Flags().IntVar(&p.Tokens, "tokens", 60, "most tokens of an answer")
+	c.Flags().DurationVar(&p.For, "for", 15*time.Second, "length of a pass")
+	c.Flags().IntVar(&p.Waiting, "waiting", 1000, "waiting jobs for the memory figure")
+	c.Flags().IntVar(&p.Idle, "idle", 1000, "idle connections for the memory figure")
+	return c
+}
+
+func enginesCommand() *cobra.Command {
+	var gap time.Duration
+	c := &cobra.Command{
+		Use:    "engines",
+		Short:  "Run stand-in engines and a lister until the input ends",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return measure.Engines(gap, c.InOrStdin(), c.OutOrStdout())
+		},
+	}
+	c.Flags().DurationVar(&gap, "gap", 50*time.Millisecond, "time between the tokens of a stream")
+	return c
+}
+
+func baselineCommand() *cobra.Command {
+	var f measure.Fleet
+	c := &cobra.Command{
+		Use:    "baseline",
+		Short:  "Run the plain relay until the input ends",
+		Args:   cobra.NoArgs,
+		Hidden: true,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return measure.Baseline(f, c.InOrStdin(), c.OutOrStdout())
+		},
+	}
+	c.Flags().StringArrayVar(&f.Readers, "reader", nil, "address of a reader")
+	c.Flags().StringArrayVar(&f.Writers, "writer", nil, "address of a writer")
+	return c
+}
+
+func importCommand() *cobra.Command {
+	var hosts, dispatchers int
+	c := &cobra.Command{
+		Use:   "import DAY.json",
+		Short: "Turn a bench's day, scaled down, into a script for drill",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, err := os.ReadFile(args[0])
+			if err != nil {
+				return err
+			}
+			s, cannot, err := drill.Import(text, hosts, dispatchers)
+			if err != nil {
+				return fmt.Errorf("%s: %w", args[0], err)
+			}
+			for _, what := range cannot {
+				fmt.Fprintf(c.ErrOrStderr(), "cannot be played: %s\n", what)
+			}
+			b, err := s.Encode()
+			if err != nil {
+				return err
+			}
+			_, err = c.OutOrStdout().Write(b)
+			return err
+		},
+	}
+	c.Flags().IntVar(&hosts, "hosts", 12, "about how many hosts")
+	c.Flags().IntVar(&dispatchers, "dispatchers", 3, "how many dispatchers at most")
+	return c
+}
--- /dev/null
+++ b/internal/lab/drill/importday.go
@@ -0,0 +1,326 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"docksail/internal/setup"
+	"docksail/policy"
+)
+
+// benchDay is the part of a bench's day file that a drill can play. Times are microseconds.
+type benchDay struct {
+	Length  int64    `json:"length"`
+	Zones   []string `json:"zones"`
+	Traffic struct {
+		Load float64 `json:"load"`
+	} `json:"traffic"`
+	Clients struct {
+		Retries int `json:"retries"`
+	} `json:"clients"`
+	Discovery struct {
+		Notice int64 `json:"notice"`
+	} `json:"discovery"`
+	Allow struct {
+		Most int64 `json:"max_attempts"`
+	} `json:"allow"`
+	Multiple float64 `json:"fall_multiple"`
+	Over     int64   `json:"fall_for"`
+	Classes  []struct {
+		Name   string  `json:"name"`
+		Share  float64 `json:"share"`
+		Aim    int64   `json:"aim"`
+		Limit  int64   `json:"deadline"`
+		Worth  float64 `json:"worth"`
+		Effect string  `json:"effect"`
+		Group  string  `json:"group"`
+		Window int64   `json:"window"`
+	} `json:"classes"`
+	Tiers []struct {
+		Kinds []struct {
+			Name     string  `json:"name"`
+			Slots    int     `json:"slots"`
+			Queue    int     `json:"queue"`
+			ColdFrom float64 `json:"cold_from"`
+			Cold     int64   `json:"cold"`
+		} `json:"kinds"`
+	} `json:"tiers"`
+	Servers []struct {
+		Zone  int     `json:"zone"`
+		Kind  int     `json:"kind"`
+		Cell  int     `json:"cell"`
+		Speed float64 `json:"speed"`
+		Up    bool    `json:"up"`
+	} `json:"servers"`
+	Balancers []struct {
+		Zone int `json:"zone"`
+	} `json:"balancers"`
+	Troubles []struct {
+		Kind  string  `json:"kind"`
+		At    int64   `json:"at"`
+		Len   int64   `json:"len"`
+		Size  float64 `json:"size"`
+		On    []int   `json:"on"`
+		Which int     `json:"which"`
+	} `json:"troubles"`
+	Family struct {
+		Release int64    `json:"release"`
+		Near    float64  `json:"near"`
+		Roles   []string `json:"roles"`
+		Engines []struct {
+			Memory int64   `json:"memory"`
+			Reads  float64 `json:"read_per_s"`
+			Step   float64 `json:"step_ms"`
+		} `json:"engines"`
+		Talks []struct {
+			Per1k  float64 `json:"aim_ms_per_k"`
+			MaxOut int     `json:"max_out"`
+			New    float64 `json:"new_tokens"`
+			Out    float64 `json:"out_tokens"`
+			Prefix float64 `json:"prefix_tokens"`
+			Gap    float64 `json:"token_aim_ms"`
+			Turns  float64 `json:"turns"`
+		} `json:"talks"`
+	} `json:"fam"`
+}
+
+// known maps the bench's kinds of trouble to ours; size is what factor its size becomes.
+var known = map[string]struct {
+	kind   string
+	factor func(size float64) float64
+}{
+	"crash":          {"crash", nil},
+	"hang":           {"hang", nil},
+	"fast_errors":    {"errors", func(x float64) float64 { return min(max(x, 0.1), 1) }},
+	"slow":           {"slow", func(x float64) float64 { return max(x, 1) }},
+	"vanish":         {"vanish", nil},
+	"ageing":         {"ageing", nil},
+	"class_fail":     {"deaf", nil},
+	"origin_slow":    {"links", func(x float64) float64 { return max(x, 1) }},
+	"report_late":    {"reports", nil},
+	"pauses":         {"pauses", nil},
+	"zone_cut":       {"cut", nil},
+	"burst":          {"burst", func(x float64) float64 { return max(x, 1) }},
+	"heavy_tail":     {"heavy", func(x float64) float64 { return max(x, 2) }},
+	"mass_restart":   {"rack", nil},
+	"balancer_crash": {"dispatcher", nil},
+	"preempt":        {"drain", nil},
+	"neighbour":      {"neighbour", func(x float64) float64 { return max(x, 1) }},
+}
+
+// Import turns a bench's day into a script with about so many hosts and dispatchers at most. What it cannot play is
+// named; the rest is played all the same.
+func Import(text []byte, hosts, dispatchers int) (*Script, []string, error) {
+	var d benchDay
+	if err := json.Unmarshal(text, &d); err != nil {
+		return nil, nil, fmt.Errorf("bench day: %w", err)
+	}
+	if len(d.Servers) == 0 || len(d.Tiers) != 1 || len(d.Family.Roles) != len(d.Tiers[0].Kinds) ||
+		len(d.Family.Engines) != len(d.Tiers[0].Kinds) || len(d.Family.Talks) != len(d.Classes) {
+		return nil, nil, fmt.Errorf("bench day: no two-stage day: %d servers, %d tiers, %d roles, %d classes", len(d.Servers),
+			len(d.Tiers), len(d.Family.Roles), len(d.Classes))
+	}
+	us := func(x int64) time.Duration { return (time.Duration(x) * time.Microsecond).Round(time.Millisecond) }
+	var cannot []string
+	kinds := d.Tiers[0].Kinds
+	s := &Script{Seed: 1, For: us(d.Length), ListerLate: us(d.Discovery.Notice), Release: us(d.Family.Release), Most: d.Allow.Most,
+		Cold: Cold{From: 1, Multiple: d.Multiple, Window: us(d.Over)}}
+	for _, k := range kinds {
+		s.Cold.From = min(s.Cold.From, k.ColdFrom)
+		s.Cold.Warm = max(s.Cold.Warm, us(k.Cold))
+	}
+
+	// Hosts: every n-th of each kind and cell, at least one; a trouble follows those that it was on.
+	every := max(1, float64(len(d.Servers))/float64(hosts))
+	groups := map[[3]int][]int{}
+	var order [][3]int
+	for i, h := range d.Servers {
+		if !h.Up {
+			continue
+		}
+		g := [3]int{h.Zone, h.Cell, h.Kind}
+		if groups[g] == nil {
+			order = append(order, g)
+		}
+		groups[g] = append(groups[g], i)
+	}
+	slices.SortFunc(order, func(a, b [3]int) int { return slices.Compare(a[:], b[:]) })
+	number := map[int]int{} // of the bench's hosts, those that are played
+	stands := map[int]int{} // each of the bench's hosts, by one that is played
+	n := 0
+	perJob := 0.0
+	for i, t := range d.Family.Talks {
+		perJob += d.Classes[i].Share * t.New
+	}
+	answers := 0.0
+	for i, t := range d.Family.Talks {
+		answers += d.Classes[i].Share * t.Out
+	}
+	readers := 0.0
+	for _, g := range order {
+		all := groups[g]
+		k, e := kinds[g[2]], d.Family.Engines[g[2]]
+		count := max(1, int(math.Round(float64(len(all))/every)))
+		role := map[string]string{"read": "reader", "write": "writer", "both": "mixed"}[d.Family.Roles[g[2]]]
+		h := Hosts{Count: count, Role: role, Zone: d.Zones[g[0]], Cell: fmt.Sprint("c", g[1]), Slots: max(k.Slots, 1), Queue: k.Queue,
+			Memory: e.Memory, ReadRate: e.Reads, MoveRate: d.Family.Near, TokenGap: time.Duration(e.Step * 1e6).Round(time.Microsecond)}
+		h.TokenGap = max(h.TokenGap, time.Millisecond)
+		h.Jobs = e.Reads / max(perJob, 1)
+		if role != "reader" {
+			h.Jobs = float64(h.Slots) / max(answers*h.TokenGap.Seconds()*1.5, 0.01)
+		} else {
+			readers += float64(count) * h.Jobs
+		}
+		s.Fleet = append(s.Fleet, h)
+		for j, i := range all {
+			stands[i] = n + 1 + j%count
+			if j < count {
+				number[i] = n + 1 + j
+			}
+		}
+		n += count
+	}
+	seen := max(1, min(dispatchers, len(d.Balancers)))
+	for i := range seen {
+		s.Dispatchers = append(s.Dispatchers, Dispatcher{Zone: d.Zones[d.Balancers[i*len(d.Balancers)/seen].Zone]})
+	}
+	total := 0.0
+	for _, c := range d.Classes {
+		total += c.Share
+	}
+	for i, c := range d.Classes {
+		t := d.Family.Talks[i]
+		tr := Track{Name: c.Name, Share: c.Share / total, Expected: us(c.Aim), Per1k: time.Duration(t.Per1k * 1e6), Patience: us(c.Limit),
+			Payoff: c.Worth, TokenGap: time.Duration(max(t.Gap, 10) * 1e6), Window: us(c.Window), Turns: max(1, int(math.Round(2*t.Turns-1))),
+			Prompt: max(1, int(t.New/2)), PromptMost: int(1.5 * t.New), Beginning: int(t.Prefix), Beginnings: 8,
+			Answer: max(1, int(min(1.33*t.Out, float64(t.MaxOut)))), Retries: d.Clients.Retries, Idle: time.Second}
+		effect := map[string]policy.Effect{"safe": policy.Redoable, "keyed": policy.Labelled, "unsafe": policy.Irreversible}
+		e, ok := effect[c.Effect]
+		if !ok {
+			cannot = append(cannot, fmt.Sprintf("class %s: effect %q, played as redoable", c.Name, c.Effect))
+		}
+		tr.Effect = setup.Effect(e)
+		switch c.Group {
+		case "zone":
+			tr.Group = setup.Group(policy.GroupZone)
+		case "cell":
+			tr.Group = setup.Group(policy.GroupCell)
+		}
+		s.Load = append(s.Load, tr)
+	}
+	turns := 0.0
+	for i, c := range d.Classes {
+		turns += c.Share / total * d.Family.Talks[i].Turns
+	}
+	s.Rate = math.Round(100*d.Traffic.Load*readers/2/max(turns, 1)) / 100 // kept text and writers make about half of it good
+
+	for _, t := range d.Troubles {
+		k, ok := known[t.Kind]
+		if !ok {
+			cannot = append(cannot, fmt.Sprintf("trouble %q at %v", t.Kind, us(t.At)))
+			continue
+		}
+		mine := Trouble{Kind: k.kind, At: us(t.At), For: us(t.Len)}
+		if k.factor != nil {
+			mine.Factor = math.Round(100*k.factor(t.Size)) / 100
+		}
+		switch k.kind {
+		case "deaf":
+			if t.Which < 0 || t.Which >= len(d.Classes) {
+				cannot = append(cannot, fmt.Sprintf("trouble %q at %v: class %d", t.Kind, us(t.At), t.Which))
+				continue
+			}
+			mine.Track = d.Classes[t.Which].Name
+		case "cut":
+			if t.Which < 0 || t.Which >= len(d.Zones) {
+				cannot = append(cannot, fmt.Sprintf("trouble %q at %v: zone %d", t.Kind, us(t.At), t.Which))
+				continue
+			}
+			mine.Zone = d.Zones[t.Which]
+		}
+		if k.kind == "dispatcher" {
+			done := map[int]bool{}
+			for _, b := range t.On {
+				m := mine
+				if m.Number = b * seen / max(len(d.Balancers), 1); m.Number < seen && !done[m.Number] {
+					done[m.Number] = true
+					s.Troubles = append(s.Troubles, m)
+				}
+			}
+			continue
+		}
+		if k.kind != "burst" && k.kind != "heavy" && k.kind != "cut" {
+			for _, i := range t.On {
+				if h := stands[i]; h > 0 && !slices.Contains(mine.Hosts, h) && (number[i] > 0 || len(mine.Hosts) == 0) {
+					mine.Hosts = append(mine.Hosts, h)
+				}
+			}
+			slices.Sort(mine.Hosts)
+			if len(mine.Hosts) == 0 && k.kind != "links" && k.kind != "reports" && k.kind != "pauses" {
+				cannot = append(cannot, fmt.Sprintf("trouble %q at %v: none of its hosts is played", t.Kind, us(t.At)))
+				continue
+			}
+		}
+		s.Troubles = append(s.Troubles, mine)
+	}
+	return s, cannot, nil
+}
+
+// Encode writes a script as Parse reads it.
+func (s *Script) Encode() ([]byte, error) {
+	b, err := json.MarshalIndent(plain(s), "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	return append(b, '\n'), nil
+}
+
+// plain spells lengths of time and names out.
+func plain(s *Script) map[string]any {
+	text := func(v any) any {
+		b, err := json.Marshal(v)
+		if err != nil {
+			panic(err)
+		}
+		var out any
+		if err := json.Unmarshal(b, &out); err != nil {
+			panic(err)
+		}
+		return spell(out, "")
+	}
+	m := text(s).(map[string]any)
+	for i, t := range s.Load {
+		to := m["tracks"].([]any)[i].(map[string]any)
+		to["effect"] = []string{"redoable", "labelled", "irreversible"}[t.Effect]
+		to["group"] = []string{"all", "zone", "cell"}[t.Group]
+	}
+	return m
+}
+
+// lengths are the fields that hold lengths of time.
+const lengths = " for lister_late release_within warm_after topples_over token_gap expected expected_per_1000_tokens patience window idle at "
+
+func spell(v any, name string) any {
+	switch v := v.(type) {
+	case map[string]any:
+		for k, x := range v {
+			v[k] = spell(x, k)
+		}
+	case []any:
+		for i, x := range v {
+			v[i] = spell(x, "")
+		}
+	case float64:
+		if strings.Contains(lengths, " "+name+" ") {
+			return time.Duration(v).String()
+		}
+		if v == math.Trunc(v) {
+			return int64(v)
+		}
+	}
+	return v
+}
