--- /dev/null
+++ b/internal/decide/flood/flood_test.go
@@ -0,0 +1,50 @@
+package flood
+
+import "testing"
+
+func TestAllowances(t *testing.T) {
+	for a := range acts {
+		var g Guard
+		n := 0
+		for ; g.Allow(1, a) && n < 1e6; n++ {
+		}
+		if float64(n) != burst[a] {
+			t.Errorf("%v: %d at once, want %v", a, n, burst[a])
+		}
+		for b := range acts { // one kind's flood says nothing of another
+			if b != a && !g.Allow(1, b) {
+				t.Errorf("%v refused because of %v", b, a)
+			}
+		}
+		if !g.Allow(int64(1e9*(3+1/perSecond[a])), a) {
+			t.Errorf("%v: still refused when its allowance has filled", a)
+		}
+	}
+}
+
+// TestSteady: a peer at three quarters of the pace stays for ever, one at one and a half is sent away.
+func TestSteady(t *testing.T) {
+	for a := range acts {
+		for _, pace := range []float64{0.75, 1.5} {
+			var g Guard
+			stays := true
+			for i := 1; i < 20000 && stays; i++ {
+				stays = g.Allow(int64(float64(i)*1e9/(pace*perSecond[a])), a)
+			}
+			if stays != (pace < 1) {
+				t.Errorf("%v at %v of the pace stays: %v", a, pace, stays)
+			}
+		}
+	}
+}
+
+func TestClockBackwards(t *testing.T) {
+	var g Guard
+	g.Allow(1e12, Ping)
+	for i := range 100 {
+		if !g.Allow(int64(1e12)-int64(i)*1e9, Ping) {
+			return
+		}
+	}
+	t.Error("a clock that runs backwards fills the allowance")
+}
--- /dev/null
+++ b/internal/decide/links/links_test.go
@@ -0,0 +1,64 @@
+package links
+
+import "testing"
+
+func TestPick(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		ls   []Link
+		i    int
+		dial bool
+		none bool
+	}{
+		{"none yet", nil, -1, true, false},
+		{"fewest launches", []Link{{Ready: true, Out: 3}, {Ready: true, Out: 1}, {Making: true}}, 1, false, false},
+		{"under way", []Link{{Making: true, Out: 2}, {}}, 0, false, false},
+		{"all full", []Link{{Out: 5}, {Out: 5}}, -1, true, false},
+		{"all full, no more allowed", make([]Link, most), -1, false, true},
+	} {
+		i, dial, none := Pick(c.ls)
+		if i != c.i || dial != c.dial || none != c.none {
+			t.Errorf("%s: %d %v %v, want %d %v %v", c.name, i, dial, none, c.i, c.dial, c.none)
+		}
+	}
+}
+
+// TestJudge follows one connection through silence.
+func TestJudge(t *testing.T) {
+	const s = int64(1e9)
+	k := Keeper{Expected: s}
+	for _, c := range []struct {
+		name string
+		now  int64
+		l    Link
+		want Verdict
+	}{
+		{"heard of late", 10*s + s/4 - 1, Link{Out: 1, Heard: 10 * s}, Keep},
+		{"silent", 10*s + s/4, Link{Out: 1, Heard: 10 * s}, Ask},
+		{"asked, has time", 11 * s, Link{Out: 1, Heard: 10 * s, Asked: 10*s + s/4}, Keep},
+		{"asked, no answer", 11*s + s/4, Link{Out: 1, Heard: 10 * s, Asked: 10*s + s/4}, Dead},
+		{"answered", 11*s + s/8, Link{Out: 1, Heard: 11 * s, Asked: 10*s + s/4, Asks: 1}, Keep},
+		{"answered, silent again", 12 * s, Link{Out: 1, Heard: 11 * s, Asked: 10*s + s/4, Asks: 1}, Ask},
+		{"two pings answered by nothing else: no more of them", 100 * s, Link{Out: 1, Heard: 11 * s, Asked: 10*s + s/4, Asks: 2}, Keep},
+		{"until servers have forgotten them", 320 * s, Link{Out: 1, Heard: 11 * s, Asked: 10*s + s/4, Asks: 2}, Ask},
+		{"nothing out: not asked", 30 * s, Link{Heard: 10 * s, Used: 10 * s}, Keep},
+		{"unused for long", 70 * s, Link{Heard: 10 * s, Used: 10 * s}, Spare},
+	} {
+		got, again := k.Judge(c.now, c.l)
+		if got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+		if (got == Keep || got == Ask) && again <= c.now {
+			t.Errorf("%s: judged again at %d, not after %d", c.name, again, c.now)
+		}
+	}
+}
+
+func TestFresh(t *testing.T) {
+	k := Keeper{Expected: 1000}
+	for age, want := range map[int64]bool{0: true, 999: true, 1000: false, 5000: false, -1: false} {
+		if k.Fresh(age) != want {
+			t.Errorf("a report %d old counts as fresh: %v, want %v", age, !want, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/jobs/jobs_test.go
@@ -0,0 +1,116 @@
+package jobs
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"docksail/policy"
+)
+
+// TestTable plays random uses against a map.
+func TestTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table Table[int]
+		model := map[policy.JobID]int{}
+		var ids, old []policy.JobID
+		for i := range rapid.IntRange(1, 200).Draw(t, "steps") {
+			if len(ids) == 0 || rapid.Bool().Draw(t, "add") {
+				id, v := table.Add()
+				if _, ok := model[id]; ok || id == 0 {
+					t.Fatalf("id %d is in use, or none", id)
+				}
+				*v = i
+				model[id] = i
+				ids = append(ids, id)
+			} else {
+				k := rapid.IntRange(0, len(ids)-1).Draw(t, "which")
+				table.Drop(ids[k])
+				delete(model, ids[k])
+				old = append(old, ids[k])
+				ids = append(ids[:k], ids[k+1:]...)
+			}
+		}
+		n := 0
+		table.Each(func(id policy.JobID, v *int) {
+			n++
+			if model[id] != *v {
+				t.Fatalf("job %d is %d, want %d", id, *v, model[id])
+			}
+		})
+		if n != len(model) || table.Len() != len(model) {
+			t.Fatalf("%d jobs, %d by count, want %d", n, table.Len(), len(model))
+		}
+		for _, id := range old {
+			if table.Find(id) != nil {
+				t.Fatalf("old id %d finds a job", id)
+			}
+			table.Drop(id) // does no harm
+		}
+		if table.Len() != len(model) {
+			t.Fatal("dropping an old id took another job")
+		}
+	})
+}
+
+// TestAccount: whatever is asked in whatever order, one final answer, one launch out, no launch after the answer.
+func TestAccount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := Account{ID: 1}
+		answers, out := 0, false
+		next := policy.Shot(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				if a.Answer() == nil {
+					answers++
+				}
+			case 1:
+				shot, err := a.Launch()
+				if (err == nil) != (!out && answers == 0) {
+					t.Fatalf("launch: %v while out %v, %d answers", err, out, answers)
+				}
+				if err == nil {
+					if shot != next {
+						t.Fatalf("launch is number %d, want %d", shot, next)
+					}
+					out, next = true, next+1
+				}
+			case 2:
+				shot := policy.Shot(rapid.IntRange(0, int(next)+1).Draw(t, "shot"))
+				err := a.End(shot)
+				if (err == nil) != (out && shot == next-1) {
+					t.Fatalf("end of %d: %v while out %v, last %d", shot, err, out, next-1)
+				}
+				out = out && err != nil
+			case 3:
+				a.Hold(3)
+			case 4:
+				a.LetGo()
+			}
+			_, held := a.Held()
+			if a.Done() != (answers == 1 && !out && !held) {
+				t.Fatalf("done %v with %d answers, out %v, held %v", a.Done(), answers, out, held)
+			}
+		}
+		if answers > 1 {
+			t.Fatalf("%d final answers", answers)
+		}
+	})
+}
+
+func TestAllocates(t *testing.T) {
+	var table Table[Account]
+	use := func() {
+		id, a := table.Add()
+		*a = Account{ID: id}
+		a.Launch()
+		a.End(0)
+		a.Answer()
+		table.Drop(id)
+	}
+	use()
+	if n := testing.AllocsPerRun(1000, use); n != 0 {
+		t.Errorf("%v allocations a job, want none", n)
+	}
+}
