--- a/internal/e2e/hard_test.go
+++ b/internal/e2e/hard_test.go
@@ -459,6 +459,18 @@
 	if s := health(); s != healthpb.HealthCheckResponse_SERVING {
 		t.Errorf("health %v before the drain", s)
 	}
+	watching, err := grpc.NewClient(st.Targets()[0], grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer watching.Close()
+	watch, err := healthpb.NewHealthClient(watching).Watch(context.Background(), &healthpb.HealthCheckRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res, err := watch.Recv(); err != nil || res.Status != healthpb.HealthCheckResponse_SERVING {
+		t.Fatalf("health watch: %v, %v", res, err)
+	}
 	long := job("drain")
 	long.MaxTokens = 200
 	end := make(chan *status.Status, 1)
@@ -480,6 +492,9 @@
 	<-began
 	r := st.Dispatcher(0)
 	r.Drain(5 * time.Second)
+	if res, err := watch.Recv(); err != nil || res.Status != healthpb.HealthCheckResponse_NOT_SERVING {
+		t.Errorf("health watch at the drain: %v, %v, want NOT_SERVING", res, err)
+	}
 	if s := <-end; s.Code() != codes.OK {
 		t.Errorf("the stream in hand ended with %v", s)
 	}
--- a/internal/front/grpc/grpc.go
+++ b/internal/front/grpc/grpc.go
@@ -98,8 +98,11 @@
 	s.ln.Close()
 	for c := range s.conns {
 		c.h.Each(func(st *h2.Stream) {
-			if a, ok := st.Tag.(*aside); ok && a.path == healthWatch {
-				send(st, &grpc_health_v1.HealthCheckResponse{Status: grpc_health_v1.HealthCheckResponse_NOT_SERVING})
+			if a, ok := st.Tag.(*aside); ok { // what only watches must not keep us
+				if a.path == healthWatch {
+					send(st, &grpc_health_v1.HealthCheckResponse{Status: grpc_health_v1.HealthCheckResponse_NOT_SERVING})
+				}
+				st.End(codes.Unavailable, "dispatcher leaves")
 			}
 		})
 		c.h.Leave()
