A drained dispatcher ends as soon as its last answer has left

Cause: the end of a drain was looked for before the turn's output was written, and again only at the next event. Change: writing the last output makes the loop turn once more.

--- a/internal/front/grpc/grpc.go
+++ b/internal/front/grpc/grpc.go
@@ -181,6 +181,9 @@
 	c.now = now
 	c.h.Congested(false)
 	c.flush()
+	if c.s.leaving { // this may have been the last that we waited for
+		c.s.l.Again()
+	}
 }
 
 func (c *conn) Closed(now loop.Nanos, err error) {
