--- a/cmd/docksail/serve.go
+++ b/cmd/docksail/serve.go
@@ -48,7 +48,8 @@
 				select {
 				case <-tick.C:
 					r.Ask(func(d *dispatch.Dispatcher) {
-						log.Info("counts", "in_hand", d.InHand(), "clients", d.Clients(), "counts", d.Counts,
+						waiting, flows, tenants := d.Queue()
+						log.Info("counts", "door_waiting", waiting, "door_flows", flows, "door_tenants", tenants, "in_hand", d.InHand(), "clients", d.Clients(), "counts", d.Counts,
 							"door", d.Door(), "log_lost", beside.Lost())
 					})
 				case <-signals:
--- /dev/null
+++ b/internal/decide/door/book.go
@@ -0,0 +1,294 @@
+package door
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"hash"
+	"math"
+)
+
+// drain measures how much cost the door lets in a nanosecond while jobs wait: only then is it the pace of what
+// stands behind it.
+type drain struct {
+	memory Nanos
+	since  Nanos // jobs wait since then; 0 = none does
+	busy   float64
+	cost   float64
+}
+
+func (r *drain) begin(now Nanos, waits bool) {
+	if !waits {
+		r.since = now
+	}
+}
+
+// pass takes the time in which jobs waited into account; old time fades.
+func (r *drain) pass(now Nanos) {
+	if r.since == 0 || now <= r.since {
+		return
+	}
+	t := float64(now - r.since)
+	keep := math.Exp(-t / float64(r.memory))
+	r.busy = r.busy*keep + t
+	r.cost *= keep
+	r.since = now
+}
+
+func (r *drain) let(now Nanos, cost float64) {
+	r.pass(now)
+	r.cost += cost
+}
+
+func (r *drain) end(now Nanos) {
+	r.pass(now)
+	r.since = 0
+}
+
+// rate is the cost a nanosecond; 0 if jobs have hardly had to wait yet.
+func (r *drain) rate() float64 {
+	if r.busy < float64(r.memory)/64 {
+		return 0
+	}
+	return r.cost / r.busy
+}
+
+// wait is how long a job of some cost would wait in a flow, which may be none yet: no longer than for all that
+// waits to pass, and no longer than for its flow's part of the pace.
+func (d *Door) wait(now Nanos, t *tenant, f *flow, cost float64) Nanos {
+	d.drain.pass(now)
+	rate := d.drain.rate()
+	if rate <= 0 || len(d.jobs) == 0 {
+		return 0
+	}
+	weights, flows := 0.0, 0.0
+	for _, o := range d.tenants {
+		if o.waiting > 0 || o == t {
+			weights += o.Weight
+		}
+	}
+	mine, own := 1.0, cost
+	if f != nil {
+		mine = f.weight
+		for _, w := range f.jobs {
+			own += w.cost
+		}
+	}
+	for _, o := range t.active {
+		if o != f {
+			flows += o.weight
+		}
+	}
+	share := t.Weight / weights * mine / (flows + mine)
+	return Nanos(min(d.total+cost, own/share) / rate)
+}
+
+// Advice says when to come back.
+type Advice struct {
+	After  Nanos
+	Ticket *Ticket // to be brought then; nil if none could be booked
+}
+
+// Ticket is a booking: who may come back, and when.
+type Ticket struct {
+	Tenant int
+	Client uint64
+	Slot   int64 // number of its slot of time
+	Serial uint32
+}
+
+const ticketSize = 8 + 8 + 8 + 4 + 16
+
+// ErrTicket says that a ticket is none of ours.
+var ErrTicket = errors.New("ticket is not ours or was changed")
+
+// Signer signs tickets with a key that lives as long as its door.
+type Signer struct {
+	mac hash.Hash
+	sum []byte
+}
+
+// NewSigner makes a signer; the key should be 32 random bytes.
+func NewSigner(key []byte) *Signer { return &Signer{mac: hmac.New(sha256.New, key)} }
+
+func (s *Signer) sign(p []byte) []byte {
+	s.mac.Reset()
+	s.mac.Write(p)
+	s.sum = s.mac.Sum(s.sum[:0])
+	return s.sum[:16]
+}
+
+// Encode gives a ticket as its client carries it.
+func (s *Signer) Encode(t *Ticket) []byte {
+	b := make([]byte, 0, ticketSize)
+	b = binary.BigEndian.AppendUint64(b, uint64(t.Tenant))
+	b = binary.BigEndian.AppendUint64(b, t.Client)
+	b = binary.BigEndian.AppendUint64(b, uint64(t.Slot))
+	b = binary.BigEndian.AppendUint32(b, t.Serial)
+	return append(b, s.sign(b)...)
+}
+
+// Decode reads what Encode wrote; ErrTicket if it was not this signer.
+func (s *Signer) Decode(b []byte) (*Ticket, error) {
+	if len(b) != ticketSize || !hmac.Equal(s.sign(b[:ticketSize-16]), b[ticketSize-16:]) {
+		return nil, ErrTicket
+	}
+	return &Ticket{Tenant: int(binary.BigEndian.Uint64(b)), Client: binary.BigEndian.Uint64(b[8:]),
+		Slot: int64(binary.BigEndian.Uint64(b[16:])), Serial: binary.BigEndian.Uint32(b[24:])}, nil
+}
+
+const (
+	slots = 256 // of time that can be booked ahead
+	// slotPart of the shortest expected time is a slot: those who come back in it are spread over it by their serial.
+	slotPart = 1.0 / 4
+	// bookedPart of the pace is booked: the rest is for fresh arrivals, and for a pace that falls.
+	bookedPart = 1.0 / 2
+	// grace slots before and after its own a ticket is taken: clocks and networks are off by some.
+	graceBefore, graceAfter = 1, 4
+	// serials of a slot, at most.
+	serials = 4096
+	// without a pace a refused client stays away for so many expected times.
+	unknownWait = 1.0 / 2
+)
+
+// book is what is promised: for each slot of time the cost booked and the tickets given and used.
+type book struct {
+	signer *Signer
+	len    Nanos // of a slot
+	slots  [slots]slot
+}
+
+type slot struct {
+	number int64
+	cost   float64
+	given  uint32
+	used   [serials / 64]uint64
+}
+
+func (b *book) init(s *Signer, expected Nanos) {
+	b.signer = s
+	b.len = max(Nanos(slotPart*float64(expected)), 1)
+	for i := range b.slots {
+		b.slots[i].number = -1
+	}
+}
+
+// at gives the slot of a number; what stood in its place before is over.
+func (b *book) at(n int64) *slot {
+	s := &b.slots[n%slots]
+	if s.number != n {
+		*s = slot{number: n}
+	}
+	return s
+}
+
+// take books cost in the first slot from a time on that has room at a pace; false if none has.
+func (b *book) take(now, from Nanos, cost, rate float64) (int64, uint32, bool) {
+	room := bookedPart * rate * float64(b.len)
+	first, last := max(from/b.len, now/b.len+1), now/b.len+slots-graceAfter-2
+	for n := first; n <= last; n++ {
+		s := b.at(n)
+		if s.given < serials && (s.cost+cost <= room || s.given == 0) { // a job larger than a slot takes one of its own
+			s.cost += cost
+			s.given++
+			return n, s.given - 1, true
+		}
+	}
+	return 0, 0, false
+}
+
+// redeem tells whether a ticket is good now, once.
+func (b *book) redeem(now Nanos, tenant int, client uint64, t *Ticket) bool {
+	if t.Tenant != tenant || t.Client != client || t.Serial >= serials {
+		return false
+	}
+	if n := now / b.len; n < t.Slot-graceBefore || n > t.Slot+graceAfter {
+		return false
+	}
+	s := &b.slots[t.Slot%slots]
+	if s.number != t.Slot || t.Serial >= s.given || s.used[t.Serial/64]&(1<<(t.Serial%64)) != 0 {
+		return false
+	}
+	s.used[t.Serial/64] |= 1 << (t.Serial % 64)
+	return true
+}
+
+// advise says when a refused client should come back, and books it in. Where a limit of the tenant's own was met,
+// not before that lets it in.
+func (d *Door) advise(now Nanos, t *tenant, c Cause, j *Job, cost float64) Advice {
+	d.drain.pass(now)
+	rate := d.drain.rate()
+	from := now + Nanos(unknownWait*float64(d.expected))
+	if c == OverRate && t.Rate > 0 {
+		from = max(from, now+Nanos((1-t.tokens)/t.Rate*1e9))
+		rate = min(rate, t.Rate/1e9*cost) // its own pace bounds what can be promised
+		if rate <= 0 {
+			rate = t.Rate / 1e9 * cost
+		}
+	}
+	if rate <= 0 || d.book.signer == nil {
+		return Advice{After: from - now}
+	}
+	if c != OverRate { // what waits has to pass first
+		from = max(from, now+min(Nanos(d.total/rate), Nanos(slots/2)*d.book.len))
+	}
+	n, serial, ok := d.book.take(now, from, cost, rate)
+	if !ok {
+		return Advice{After: slots * d.book.len}
+	}
+	// Within its slot they are spread by their serial, as evenly as the golden ratio does it.
+	const golden = 0.6180339887498949
+	_, part := math.Modf(float64(serial) * golden)
+	at := n*d.book.len + Nanos(part*float64(d.book.len))
+	return Advice{After: max(at-now, 1), Ticket: &Ticket{Tenant: t.n, Client: j.Client, Slot: n, Serial: serial}}
+}
+
+// known remembers, for a bounded number of clients, how many of their jobs were served, in sets of a few: of a
+// full set the one that was served least lately goes.
+type known struct {
+	sets [][knownWays]knownClient
+}
+
+const knownWays = 4
+
+type knownClient struct {
+	key    uint64
+	tenant int
+	served int
+	until  Nanos
+}
+
+func (k *known) init(clients int) { k.sets = make([][knownWays]knownClient, max(clients/knownWays, 1)) }
+
+func (k *known) set(tenant int, client uint64) *[knownWays]knownClient {
+	return &k.sets[(client^uint64(tenant)*0x9e3779b97f4a7c15)%uint64(len(k.sets))]
+}
+
+func (k *known) is(now Nanos, tenant int, client uint64) bool {
+	for i := range k.set(tenant, client) {
+		if c := &k.set(tenant, client)[i]; c.key == client && c.tenant == tenant && now < c.until {
+			return c.served >= knownAfter
+		}
+	}
+	return false
+}
+
+func (k *known) served(now Nanos, tenant int, client uint64, keep Nanos) {
+	if client == 0 {
+		return
+	}
+	set := k.set(tenant, client)
+	at := 0
+	for i := range set {
+		if c := &set[i]; c.key == client && c.tenant == tenant && now < c.until {
+			c.served++
+			c.until = now + keep
+			return
+		}
+		if set[i].until < set[at].until {
+			at = i
+		}
+	}
+	set[at] = knownClient{key: client, tenant: tenant, served: 1, until: now + keep}
+}
--- /dev/null
+++ b/internal/decide/door/door.go
@@ -0,0 +1,548 @@
+// Package door decides in what order jobs that wait at the door go in, which are refused, and when those come back.
+//
+// Jobs wait in flows: a tenant, and within it a client. Service is shared by start-time fair queueing on both
+// levels: tenants by weight, a tenant's flows evenly, each job at its cost in what it takes of the fleet. Clients that
+// are not known yet share flows by the source they come from, so that made-up names bring nothing; a client is
+// known once enough of its jobs were served. Everything is bounded: jobs waiting, flows, clients known.
+//
+// The package does no I/O and reads no clock. Equal calls give equal decisions.
+package door
+
+import (
+	"container/heap"
+	"fmt"
+)
+
+// Nanos is a time or a span in nanoseconds.
+type Nanos = int64
+
+// JobID is a job's name at the host of this package.
+type JobID uint64
+
+// Tenant is what a tenant may do.
+type Tenant struct {
+	Weight    float64 // its part of the service while others want some too
+	Rate      float64 // jobs a second, with one second's worth at once; 0 = no limit
+	Waiting   int     // jobs waiting at the door; 0 = as many as fit
+	Running   int     // jobs let in and not over; 0 = no limit
+	PromptMax int64   // tokens of a prompt; 0 = no limit
+}
+
+// Job is what is known of a job that comes.
+type Job struct {
+	ID       JobID
+	Tenant   int
+	Client   uint64 // keyed hash of its client's name; 0 = none is named
+	Source   uint64 // keyed hash of where it comes from
+	Prompt   int64  // tokens to read
+	Answer   int64  // most tokens of the answer
+	Expected Nanos  // expected time of its first token
+	Deadline Nanos  // an answer has to have left by then
+	Ticket   *Ticket
+}
+
+// Cause says why a job is refused.
+type Cause uint8
+
+const (
+	Admitted   Cause = iota
+	Full             // the door holds all the jobs it may
+	TenantFull       // this tenant's jobs waiting are at their limit
+	OverRate         // the tenant asks faster than it may
+	TooLong          // the prompt is longer than the tenant's may be
+	TooLate          // it could not be let in in time
+	Unknown          // no such tenant
+	Shed             // the dispatcher itself is overloaded
+	causes
+)
+
+func (c Cause) String() string {
+	return [...]string{"admitted", "too many jobs waiting", "too many jobs of the tenant waiting", "faster than the tenant may ask",
+		"prompt longer than the tenant's may be", "no chance to be in time", "unknown tenant", "dispatcher overloaded"}[c]
+}
+
+// Own tells that a limit of the caller's own was met.
+func (c Cause) Own() bool { return c == TenantFull || c == OverRate || c == TooLong }
+
+const (
+	// answerCost is what a token of an answer costs, in tokens read: a token written takes a step of its own, a token
+	// read a share of one with some hundred others; slots and memory level it to this.
+	answerCost = 8
+	// expectedPart of the most tokens of an answer is what is charged before its length is known.
+	expectedPart = 0.5
+	// knownAfter jobs served, a client has a flow of its own: a made-up name would have to be used as often.
+	knownAfter = 3
+	// forgetAfter so many expected times without a job, a client is not known any more.
+	forgetAfter = 600
+	// newcomers is the weight of all clients of one source that are not known, in clients: there may be many.
+	newcomers = 4
+	// shedLag of the shortest expected time that one turn of the loop works is overload of the dispatcher itself: a
+	// job takes several turns; shedPart of what waits goes then, at each such turn.
+	shedLag  = 1.0 / 8
+	shedPart = 1.0 / 8
+	// bookedRoom is the part of the door that is kept for those who come back as advised.
+	bookedRoom = 1.0 / 8
+	// unlaunched jobs that the module may have before the door lets in more, and as a part of those launched: enough
+	// that one it can't place yet does not stop the others, few enough that the order is the door's.
+	unlaunchedLeast = 4
+	unlaunchedPart  = 1.0 / 32
+	// burstSeconds of its rate a tenant may ask at once.
+	burstSeconds = 1
+	// drainMemory is how fast the measured drain follows, in expected times: some, so that one gap says little.
+	drainMemory = 4
+	// hopeless is the share of its time within which a job should be let in: the rest is for the work.
+	hopeless = 0.5
+)
+
+// Cost of a job in tokens read, as charged before its answer is known.
+func Cost(prompt, answer int64) float64 {
+	return max(float64(prompt)+answerCost*expectedPart*float64(answer), 1)
+}
+
+type job struct {
+	Job
+	cost  float64
+	came  Nanos
+	flow  *flow
+	due   Nanos // what orders it within its flow
+	late  Nanos // from then on it is too late to let it in
+	order uint64
+	at    int  // place in the flow's heap, from 0
+	lateI int  // place among all by late
+	in    bool // it came back as advised
+}
+
+// flow is the waiting jobs of one client, or of the newcomers from one source.
+type flow struct {
+	key    flowKey
+	tenant *tenant
+	weight float64
+	jobs   jobHeap
+	start  float64 // start tag of its next job
+	order  uint64
+	at     int // place in the tenant's heap; -1 = not there
+	last   Nanos
+}
+
+type flowKey struct {
+	known bool
+	key   uint64
+}
+
+type tenant struct {
+	Tenant
+	n       int
+	flows   map[flowKey]*flow
+	active  flowHeap
+	virtual float64 // virtual time of its flows
+	start   float64 // start tag of its next job among tenants
+	at      int     // place in the door's heap; -1 = not there
+	waiting int
+	running int
+	tokens  float64 // of its rate
+	tokenAt Nanos
+	gone    bool
+	Counts  Counts
+}
+
+// Counts are what a door counted of a tenant.
+type Counts struct {
+	Came, Admitted, Cancelled        uint64
+	Refused                          [causes]uint64
+	Waited                           Nanos // in all, of those let in
+	Longest                          Nanos
+	Cost                             float64 // of those let in
+	Booked, Returned, Kept, Unbooked uint64  // advice given; returned with it; let in; tickets not honoured
+}
+
+// Door is the queue. Make it with New.
+type Door struct {
+	// FirstCome lets jobs in as they came, whoever sent them: a baseline to measure against. It is set before the
+	// first job comes.
+	FirstCome bool
+
+	most     int
+	mostFlow int
+	tenants  []*tenant
+	active   tenantHeap
+	virtual  float64
+	jobs     map[JobID]*job
+	late     lateHeap
+	free     []*job
+	freeFlow []*flow
+	flows    int
+	known    known
+	orders   uint64
+	sweepAt  uint64
+	expected Nanos // shortest expected time
+	drain    drain
+	book     book
+	total    float64 // cost waiting
+}
+
+// New makes a door for so many waiting jobs, with so many known clients remembered. expected is the shortest
+// expected time of the tracks, by which spans are measured. tickets signs advice; nil gives none.
+func New(most, clients int, expected Nanos, tickets *Signer) (*Door, error) {
+	if most < 1 || clients < 1 || expected < 1 {
+		return nil, fmt.Errorf("door for %d jobs, %d clients, expected time %d: want all above 0", most, clients, expected)
+	}
+	d := &Door{most: most, mostFlow: most + 1024, jobs: make(map[JobID]*job), expected: expected}
+	d.known.init(clients)
+	d.drain.memory = drainMemory * expected
+	d.book.init(tickets, expected)
+	return d, nil
+}
+
+// SetTenant adds tenant n, or changes what it may do; it holds for jobs that wait too.
+func (d *Door) SetTenant(n int, t Tenant) error {
+	if n < 0 || n > len(d.tenants) {
+		return fmt.Errorf("tenant %d: want 0 to %d", n, len(d.tenants))
+	}
+	if !(t.Weight > 0) || t.Rate < 0 || t.Waiting < 0 || t.Running < 0 || t.PromptMax < 0 {
+		return fmt.Errorf("tenant %d: weight %v, rate %v, waiting %d, running %d, prompt %d: want a weight above 0 and no limit below 0",
+			n, t.Weight, t.Rate, t.Waiting, t.Running, t.PromptMax)
+	}
+	if n == len(d.tenants) {
+		d.tenants = append(d.tenants, &tenant{n: n, flows: make(map[flowKey]*flow), at: -1, start: d.virtual,
+			tokens: burstSeconds * t.Rate})
+	}
+	tn := d.tenants[n]
+	tn.Tenant, tn.gone = t, false
+	d.place(tn)
+	return nil
+}
+
+// Waiting counts jobs at the door.
+func (d *Door) Waiting() int { return len(d.jobs) }
+
+// Flows counts flows that are remembered.
+func (d *Door) Flows() int { return d.flows }
+
+// Counts gives what was counted of a tenant.
+func (d *Door) Counts(n int) Counts { return d.tenants[n].Counts }
+
+// Tenant gives how many jobs of a tenant wait and run.
+func (d *Door) Tenant(n int) (waiting, running int) {
+	return d.tenants[n].waiting, d.tenants[n].running
+}
+
+// Open tells whether another job may be let in, by how many jobs the module has that it has not launched yet, and
+// how many that it has.
+func (d *Door) Open(unlaunched, launched int) bool {
+	return unlaunched < max(unlaunchedLeast, int(unlaunchedPart*float64(launched)))
+}
+
+// Arrive takes a job to wait, or refuses it with the time to stay away; a Ticket goes with advice if the door gives
+// any.
+func (d *Door) Arrive(now Nanos, j Job) (Cause, Advice) {
+	if j.Tenant < 0 || j.Tenant >= len(d.tenants) || d.tenants[j.Tenant].gone {
+		return Unknown, Advice{}
+	}
+	t := d.tenants[j.Tenant]
+	t.Counts.Came++
+	booked := false
+	if j.Ticket != nil {
+		if booked = d.book.redeem(now, j.Tenant, j.Client, j.Ticket); booked {
+			t.Counts.Returned++
+		} else {
+			t.Counts.Unbooked++
+		}
+	}
+	cost := Cost(j.Prompt, j.Answer)
+	refuse := func(c Cause) (Cause, Advice) {
+		t.Counts.Refused[c]++
+		if c == TooLong {
+			return c, Advice{}
+		}
+		a := d.advise(now, t, c, &j, cost)
+		if a.Ticket != nil {
+			t.Counts.Booked++
+		}
+		return c, a
+	}
+	if t.PromptMax > 0 && j.Prompt > t.PromptMax {
+		return refuse(TooLong)
+	}
+	t.fill(now)
+	if t.Rate > 0 && t.tokens < 1 && !booked {
+		return refuse(OverRate)
+	}
+	if t.Waiting > 0 && t.waiting >= t.Waiting {
+		return refuse(TenantFull)
+	}
+	room := d.most
+	if !booked {
+		room -= int(bookedRoom * float64(d.most))
+	}
+	if len(d.jobs) >= max(room, 1) {
+		return refuse(Full)
+	}
+	if !booked && d.wait(now, t, d.flowOf(now, t, &j, false), cost) > Nanos(hopeless*float64(j.Deadline-now)) {
+		return refuse(TooLate)
+	}
+	if t.Rate > 0 {
+		t.tokens--
+	}
+	f := d.flowOf(now, t, &j, true)
+	w := d.newJob()
+	*w = job{Job: j, cost: cost, came: now, flow: f, due: now + j.Expected, order: d.nextOrder(), in: booked,
+		late: j.Deadline - Nanos(hopeless*float64(j.Deadline-now))}
+	w.Ticket = nil
+	if d.FirstCome {
+		w.due = now
+	} else if booked { // it has waited its time elsewhere
+		w.due = now
+	}
+	d.drain.begin(now, d.total > 0)
+	d.jobs[j.ID] = w
+	heap.Push(&d.late, w)
+	d.total += cost
+	t.waiting++
+	if len(f.jobs) == 0 {
+		f.start = max(f.start, t.virtual)
+		if t.waiting == 1 {
+			t.start = max(t.start, d.virtual)
+		}
+	}
+	heap.Push(&f.jobs, w)
+	d.placeFlow(f)
+	d.place(t)
+	return Admitted, Advice{}
+}
+
+// Next gives the next job to let in, if there is one. It changes nothing: Let does.
+func (d *Door) Next() (JobID, bool) {
+	if len(d.active) == 0 {
+		return 0, false
+	}
+	return d.active[0].active[0].jobs[0].ID, true
+}
+
+// Let takes the job that Next gave out of the queue: it has been let in.
+func (d *Door) Let(now Nanos, id JobID) {
+	w := d.jobs[id]
+	if w == nil {
+		return
+	}
+	f, t := w.flow, w.flow.tenant
+	d.virtual = max(d.virtual, t.start)
+	t.virtual = max(t.virtual, f.start)
+	f.start += w.cost / f.weight
+	t.start += w.cost / t.Weight
+	waited := now - w.came
+	t.Counts.Admitted++
+	t.Counts.Waited += waited
+	t.Counts.Longest = max(t.Counts.Longest, waited)
+	t.Counts.Cost += w.cost
+	if w.in {
+		t.Counts.Kept++
+	}
+	t.running++
+	d.drain.let(now, w.cost)
+	d.remove(now, w)
+}
+
+// Over tells that a job that was let in is over: tenant and what it was charged by, and what it truly took. The
+// difference is charged to its flow.
+func (d *Door) Over(now Nanos, j Job, served bool, answered int64) {
+	if j.Tenant < 0 || j.Tenant >= len(d.tenants) {
+		return
+	}
+	t := d.tenants[j.Tenant]
+	t.running = max(t.running-1, 0)
+	if served {
+		d.known.served(now, t.n, j.Client, forgetAfter*d.expected)
+	}
+	truly := float64(j.Prompt) + answerCost*float64(answered)
+	if f := d.flowOf(now, t, &j, false); f != nil && served {
+		by := truly - Cost(j.Prompt, j.Answer)
+		f.start = max(f.start+by/f.weight, t.virtual)
+		t.start = max(t.start+by/t.Weight, d.virtual)
+		d.placeFlow(f)
+	}
+	d.place(t)
+}
+
+// Cancel takes back a job that waits, as its client left or its time is up; false if it does not wait.
+func (d *Door) Cancel(now Nanos, id JobID) bool {
+	w := d.jobs[id]
+	if w == nil {
+		return false
+	}
+	w.flow.tenant.Counts.Cancelled++
+	d.remove(now, w)
+	return true
+}
+
+// Expired gives a waiting job for which it has become too late: the host refuses it, after Refuse has said how.
+func (d *Door) Expired(now Nanos) (JobID, bool) {
+	if len(d.late) == 0 || now < d.late[0].late {
+		return 0, false
+	}
+	return d.late[0].ID, true
+}
+
+// NextExpiry is when Expired has something to give at the earliest; false if nothing waits.
+func (d *Door) NextExpiry() (Nanos, bool) {
+	if len(d.late) == 0 {
+		return 0, false
+	}
+	return d.late[0].late, true
+}
+
+// Refuse takes a waiting job out and says how its client is to be answered.
+func (d *Door) Refuse(now Nanos, id JobID, c Cause) Advice {
+	w := d.jobs[id]
+	if w == nil {
+		return Advice{}
+	}
+	t, j, cost := w.flow.tenant, w.Job, w.cost
+	t.Counts.Refused[c]++
+	d.remove(now, w)
+	a := d.advise(now, t, c, &j, cost)
+	if a.Ticket != nil {
+		t.Counts.Booked++
+	}
+	return a
+}
+
+// Again says when a job should come back that was let in and then refused by the module, and books it in.
+func (d *Door) Again(now Nanos, j Job) Advice {
+	if j.Tenant < 0 || j.Tenant >= len(d.tenants) {
+		return Advice{}
+	}
+	t := d.tenants[j.Tenant]
+	a := d.advise(now, t, Full, &j, Cost(j.Prompt, j.Answer))
+	if a.Ticket != nil {
+		t.Counts.Booked++
+	}
+	return a
+}
+
+// ToShed is how many waiting jobs the host should refuse, the heaviest flow's first, after a turn of its loop worked
+// for so long: a loop that lags makes every job late, so what waits goes before what runs suffers.
+func (d *Door) ToShed(worked Nanos) int {
+	if worked < Nanos(shedLag*float64(d.expected)) {
+		return 0
+	}
+	return int(shedPart * float64(len(d.jobs)))
+}
+
+// Heaviest gives the newest job of the flow that has most waiting for its weight, to be shed first.
+func (d *Door) Heaviest() (JobID, bool) {
+	var worst *flow
+	most := 0.0
+	for _, t := range d.tenants {
+		for _, f := range t.active {
+			if by := float64(len(f.jobs)) / (f.weight * t.Weight); by > most {
+				worst, most = f, by
+			}
+		}
+	}
+	if worst == nil {
+		return 0, false
+	}
+	newest := worst.jobs[0]
+	for _, w := range worst.jobs {
+		if w.order > newest.order {
+			newest = w
+		}
+	}
+	return newest.ID, true
+}
+
+// remove takes a job out of its flow.
+func (d *Door) remove(now Nanos, w *job) {
+	f, t := w.flow, w.flow.tenant
+	heap.Remove(&f.jobs, w.at)
+	heap.Remove(&d.late, w.lateI)
+	f.last = now
+	t.waiting--
+	d.total = max(d.total-w.cost, 0)
+	delete(d.jobs, w.ID)
+	if len(d.jobs) == 0 {
+		d.total = 0
+		d.drain.end(now)
+	}
+	d.free = append(d.free, w)
+	d.placeFlow(f)
+	d.place(t)
+	if len(f.jobs) == 0 && f.start <= t.virtual {
+		d.forget(f)
+	}
+}
+
+func (d *Door) newJob() *job {
+	if n := len(d.free); n > 0 {
+		w := d.free[n-1]
+		d.free = d.free[:n-1]
+		return w
+	}
+	return new(job)
+}
+
+func (d *Door) nextOrder() uint64 {
+	d.orders++
+	return d.orders
+}
+
+// flowOf gives the flow of a job; with create it is made if there is none.
+func (d *Door) flowOf(now Nanos, t *tenant, j *Job, create bool) *flow {
+	key := flowKey{known: j.Client != 0 && d.known.is(now, t.n, j.Client), key: j.Client}
+	weight := 1.0
+	if d.FirstCome {
+		key = flowKey{}
+	} else if !key.known {
+		key.key, weight = j.Source, newcomers
+	}
+	f := t.flows[key]
+	if f != nil || !create {
+		return f
+	}
+	if d.flows >= d.mostFlow && !d.makeRoom() {
+		key = flowKey{key: ^uint64(0)} // what finds no room shares one flow
+		if f = t.flows[key]; f != nil {
+			return f
+		}
+	}
+	if n := len(d.freeFlow); n > 0 {
+		f, d.freeFlow = d.freeFlow[n-1], d.freeFlow[:n-1]
+	} else {
+		f = new(flow)
+	}
+	*f = flow{key: key, tenant: t, weight: weight, jobs: f.jobs[:0], start: t.virtual, order: d.nextOrder(), at: -1, last: now}
+	t.flows[key] = f
+	d.flows++
+	return f
+}
+
+// makeRoom forgets flows that owe nothing any more. It looks at all of them, so only after as many arrivals as
+// make that little for each.
+func (d *Door) makeRoom() bool {
+	if d.orders < d.sweepAt {
+		return false
+	}
+	d.sweepAt = d.orders + uint64(d.flows/16)
+	for _, t := range d.tenants {
+		for _, f := range t.flows { // which go does not depend on the order
+			if len(f.jobs) == 0 && f.start <= t.virtual {
+				d.forget(f)
+			}
+		}
+	}
+	return d.flows < d.mostFlow
+}
+
+func (d *Door) forget(f *flow) {
+	delete(f.tenant.flows, f.key)
+	d.flows--
+	f.tenant = nil
+	d.freeFlow = append(d.freeFlow, f)
+}
+
+func (t *tenant) fill(now Nanos) {
+	if t.Rate > 0 {
+		t.tokens = min(t.tokens+float64(now-t.tokenAt)/1e9*t.Rate, max(burstSeconds*t.Rate, 1))
+	}
+	t.tokenAt = now
+}
--- /dev/null
+++ b/internal/decide/door/door_test.go
@@ -0,0 +1,569 @@
+package door
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	ms  = Nanos(1e6)
+	sec = Nanos(1e9)
+)
+
+func newDoor(t testing.TB, most int, tenants ...Tenant) *Door {
+	t.Helper()
+	d, err := New(most, 1024, sec, NewSigner([]byte("a key")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, x := range tenants {
+		if err := d.SetTenant(i, x); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return d
+}
+
+// meet makes a client known.
+func meet(d *Door, now Nanos, tenant int, clients ...uint64) {
+	for _, c := range clients {
+		for range knownAfter {
+			d.known.served(now, tenant, c, 1000*sec)
+		}
+	}
+}
+
+var orders JobID
+
+func ask(tenant int, client uint64, prompt int64) Job {
+	orders++
+	return Job{ID: orders, Tenant: tenant, Client: client, Source: 1, Prompt: prompt, Answer: 0, Expected: sec, Deadline: 1 << 60}
+}
+
+// TestFairAgainstFluid: over any stretch in which a flow has jobs waiting, what it is let in lies within its own largest
+// and the largest job of all of what an ideal fluid schedule would give it.
+func TestFairAgainstFluid(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		rng := rand.New(rand.NewPCG(seed, 0))
+		n := 2 + rng.IntN(5)
+		var ts []Tenant
+		sum := 0.0
+		for range n {
+			w := float64(1 + rng.IntN(8))
+			sum += w
+			ts = append(ts, Tenant{Weight: w})
+		}
+		d := newDoor(t, 100000, ts...)
+		owner, cost := map[JobID]int{}, map[JobID]float64{}
+		largest := 0.0
+		for i := range n { // all have enough waiting for the whole stretch
+			for range 400 {
+				j := ask(i, 0, int64(1+rng.IntN(1000)))
+				if c, _ := d.Arrive(1, j); c != Admitted {
+					rt.Fatalf("refused: %v", c)
+				}
+				owner[j.ID], cost[j.ID] = i, Cost(j.Prompt, 0)
+				largest = max(largest, cost[j.ID])
+			}
+		}
+		got, total := make([]float64, n), 0.0
+		for range 300 {
+			id, ok := d.Next()
+			if !ok {
+				rt.Fatal("nothing to let in while jobs wait")
+			}
+			d.Let(2, id)
+			got[owner[id]] += cost[id]
+			total += cost[id]
+			for i := range n {
+				for k := range n { // the bound of start-time fair queueing between any two
+					apart := math.Abs(got[i]/ts[i].Weight - got[k]/ts[k].Weight)
+					if most := largest/ts[i].Weight + largest/ts[k].Weight; apart > most+1e-6 {
+						rt.Fatalf("seed %d: tenants %d and %d are %.0f apart for their weights, want at most %.0f", seed, i, k, apart, most)
+					}
+				}
+			}
+		}
+		for i := range n {
+			if fluid := total * ts[i].Weight / sum; math.Abs(got[i]-fluid) > float64(n+1)*largest {
+				rt.Fatalf("seed %d: tenant %d got %.0f, a fluid schedule %.0f", seed, i, got[i], fluid)
+			}
+		}
+	})
+}
+
+// TestWorkConserving: whatever comes, is cancelled, expires or changes, while a job may be let in there is one; every
+// job leaves exactly once, and nothing is left behind.
+func TestWorkConserving(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d := newDoor(t, 50, Tenant{Weight: 1}, Tenant{Weight: 3, Running: 4}, Tenant{Weight: 2, Waiting: 5, Rate: 50})
+		meet(d, 1, 0, 1, 2, 3)
+		waiting, running := map[JobID]Job{}, []Job{}
+		now := Nanos(1)
+		for range rapid.IntRange(1, 300).Draw(rt, "steps") {
+			now += Nanos(rapid.IntRange(0, 50).Draw(rt, "ms")) * ms
+			switch rapid.IntRange(0, 5).Draw(rt, "what") {
+			case 0, 1:
+				j := ask(rapid.IntRange(0, 2).Draw(rt, "tenant"), uint64(rapid.IntRange(0, 5).Draw(rt, "client")), int64(rapid.IntRange(1, 5000).Draw(rt, "prompt")))
+				j.Deadline = now + 2*sec
+				if c, a := d.Arrive(now, j); c == Admitted {
+					waiting[j.ID] = j
+				} else if a.After <= 0 {
+					rt.Fatalf("refused for %v with no time to come back", c)
+				}
+			case 2:
+				id, ok := d.Next()
+				may := false
+				for _, j := range waiting {
+					_, r := d.Tenant(j.Tenant)
+					may = may || j.Tenant != 1 || r < 4
+				}
+				if ok != may {
+					rt.Fatalf("next: %v, though a job may be let in: %v", ok, may)
+				}
+				if ok {
+					j, here := waiting[id]
+					if !here {
+						rt.Fatalf("job %d does not wait", id)
+					}
+					d.Let(now, id)
+					delete(waiting, id)
+					running = append(running, j)
+				}
+			case 3:
+				if len(running) > 0 {
+					d.Over(now, running[0], rapid.Bool().Draw(rt, "served"), int64(rapid.IntRange(0, 100).Draw(rt, "answer")))
+					running = running[1:]
+				}
+			case 4:
+				for id := range waiting {
+					if !d.Cancel(now, id) || d.Cancel(now, id) {
+						rt.Fatal("a job that waits can be cancelled once")
+					}
+					delete(waiting, id)
+					break
+				}
+			case 5:
+				for {
+					id, ok := d.Expired(now)
+					if !ok {
+						break
+					}
+					if _, here := waiting[id]; !here {
+						rt.Fatalf("expired job %d does not wait", id)
+					}
+					d.Refuse(now, id, TooLate)
+					delete(waiting, id)
+				}
+				if err := d.SetTenant(0, Tenant{Weight: rapid.Float64Range(0.1, 10).Draw(rt, "weight")}); err != nil {
+					rt.Fatal(err)
+				}
+			}
+			if d.Waiting() != len(waiting) || len(d.late) != len(waiting) {
+				rt.Fatalf("%d wait, %d by their time, want %d", d.Waiting(), len(d.late), len(waiting))
+			}
+			sum := 0
+			for i := range 3 {
+				w, r := d.Tenant(i)
+				if r < 0 || w < 0 {
+					rt.Fatalf("tenant %d: %d waiting, %d running", i, w, r)
+				}
+				sum += w
+			}
+			if sum != len(waiting) {
+				rt.Fatalf("tenants have %d waiting, want %d", sum, len(waiting))
+			}
+		}
+		for id := range waiting {
+			d.Cancel(now, id)
+		}
+		if d.Waiting() != 0 || d.total != 0 {
+			rt.Fatalf("%d wait with cost %v when all are gone", d.Waiting(), d.total)
+		}
+	})
+}
+
+// TestSameDecisions: equal calls give equal decisions, whatever maps do.
+func TestSameDecisions(t *testing.T) {
+	run := func() string {
+		orders = 1000000
+		rng := rand.New(rand.NewPCG(7, 7))
+		d := newDoor(t, 200, Tenant{Weight: 1}, Tenant{Weight: 2, Rate: 300})
+		out := ""
+		for i := range 5000 {
+			now := Nanos(i) * ms
+			j := ask(rng.IntN(2), uint64(rng.IntN(40)), int64(1+rng.IntN(3000)))
+			j.Source, j.Deadline = uint64(rng.IntN(9)), now+sec
+			c, a := d.Arrive(now, j)
+			out += fmt.Sprint(c, a.After, " ")
+			for {
+				id, ok := d.Expired(now)
+				if !ok {
+					break
+				}
+				out += fmt.Sprint("x", id, d.Refuse(now, id, TooLate).After, " ")
+			}
+			if id, ok := d.Next(); ok && rng.IntN(3) > 0 {
+				d.Let(now, id)
+				out += fmt.Sprint("l", id, " ")
+				d.Over(now, Job{Tenant: rng.IntN(2), Client: uint64(rng.IntN(40)), Prompt: 5}, true, 3)
+			}
+		}
+		return out
+	}
+	if a, b := run(), run(); a != b {
+		t.Error("two equal runs decide differently")
+	}
+}
+
+// serve lets so much cost in for each millisecond and gives the wait of each job of a client, in milliseconds.
+func serve(d *Door, credit *float64, from, to Nanos, perMS float64, came map[JobID]Nanos, done func(id JobID, wait Nanos)) {
+	for now := from; now < to; now += ms {
+		*credit = min(*credit+perMS, 10*perMS)
+		for *credit > 0 {
+			id, ok := d.Next()
+			if !ok {
+				break
+			}
+			j := d.jobs[id].Job
+			*credit -= Cost(j.Prompt, j.Answer)
+			d.Let(now, id)
+			d.Over(now, j, true, 0)
+			done(id, now-came[id])
+		}
+	}
+}
+
+// TestFlood: a client that floods, under one name or under many made-up ones, does not make a small known client
+// wait longer than a few of its own jobs' time.
+func TestFlood(t *testing.T) {
+	for name, flooder := range map[string]func(i int) uint64{
+		"one name":   func(int) uint64 { return 77 },
+		"many names": func(i int) uint64 { return 1000 + uint64(i) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDoor(t, 20000, Tenant{Weight: 1})
+			meet(d, 1, 0, 1, 2, 3, 77)
+			came, small := map[JobID]Nanos{}, map[JobID]bool{}
+			var worst, worstFlood Nanos
+			credit := 0.0
+			n := 0
+			done := func(id JobID, wait Nanos) {
+				if small[id] {
+					worst = max(worst, wait)
+				} else {
+					worstFlood = max(worstFlood, wait)
+				}
+			}
+			for now := Nanos(0); now < 4*sec; now += 10 * ms {
+				for range 30 { // fifteen times what is served
+					n++
+					j := ask(0, flooder(n), 100)
+					j.Source = 9
+					if c, _ := d.Arrive(now, j); c == Admitted {
+						came[j.ID] = now
+					}
+				}
+				if now%(50*ms) == 0 {
+					j := ask(0, 1+uint64(now/(50*ms))%3, 100)
+					if c, _ := d.Arrive(now, j); c != Admitted {
+						t.Fatalf("a small client was refused: %v", c)
+					}
+					came[j.ID], small[j.ID] = now, true
+				}
+				serve(d, &credit, now, now+10*ms, 20, came, done)
+			}
+			if worst > 50*ms {
+				t.Errorf("a small client waited %d ms, want at most 50: five jobs take 25", worst/ms)
+			}
+			if worstFlood < 500*ms {
+				t.Errorf("the flood waited %d ms at most: it was none", worstFlood/ms)
+			}
+		})
+	}
+}
+
+// TestIdleTenant: an hour without a job saves nothing up.
+func TestIdleTenant(t *testing.T) {
+	d := newDoor(t, 1000, Tenant{Weight: 1}, Tenant{Weight: 1})
+	for range 100 {
+		j := ask(0, 0, 100)
+		d.Arrive(1, j)
+		id, _ := d.Next()
+		d.Let(1, id)
+	}
+	now := 3600 * sec
+	owner := map[JobID]int{}
+	for range 50 {
+		for i := range 2 {
+			j := ask(i, 0, 100)
+			d.Arrive(now, j)
+			owner[j.ID] = i
+		}
+	}
+	got := [2]int{}
+	for range 40 {
+		id, _ := d.Next()
+		d.Let(now, id)
+		got[owner[id]]++
+	}
+	if got[0] < 18 || got[1] < 18 {
+		t.Errorf("of 40 let in %v, want half each", got)
+	}
+}
+
+// TestHugeJob: one huge job between many small ones of another client delays them by itself at most once.
+func TestHugeJob(t *testing.T) {
+	d := newDoor(t, 1000, Tenant{Weight: 1})
+	meet(d, 1, 0, 1, 2)
+	huge := ask(0, 1, 100000)
+	d.Arrive(1, huge)
+	d.Arrive(1, ask(0, 1, 100000))
+	small := 0
+	for range 200 {
+		d.Arrive(1, ask(0, 2, 100))
+	}
+	for i := range 150 {
+		id, _ := d.Next()
+		if d.jobs[id].Client == 2 {
+			small++
+		}
+		d.Let(1, id)
+		_ = i
+	}
+	if small < 149 {
+		t.Errorf("%d of 150 let in were small, want all but one: the second huge one owes for the first", small)
+	}
+}
+
+// TestWeightsChange: from the change on, service follows the new weights.
+func TestWeightsChange(t *testing.T) {
+	d := newDoor(t, 10000, Tenant{Weight: 1}, Tenant{Weight: 1})
+	owner := map[JobID]int{}
+	for range 2000 {
+		for i := range 2 {
+			j := ask(i, 0, 100)
+			d.Arrive(1, j)
+			owner[j.ID] = i
+		}
+	}
+	count := func(n int) [2]int {
+		got := [2]int{}
+		for range n {
+			id, _ := d.Next()
+			d.Let(2, id)
+			got[owner[id]]++
+		}
+		return got
+	}
+	if got := count(200); got[0] < 99 || got[1] < 99 {
+		t.Errorf("evenly weighted: %v", got)
+	}
+	if err := d.SetTenant(1, Tenant{Weight: 4}); err != nil {
+		t.Fatal(err)
+	}
+	if got := count(500); got[1] < 396 || got[1] > 404 {
+		t.Errorf("at four to one: %v of 500, want 400 for the second", got)
+	}
+}
+
+// TestTickets: what is booked holds once, for its owner, at its time; nothing else does.
+func TestTickets(t *testing.T) {
+	d := newDoor(t, 16, Tenant{Weight: 1}, Tenant{Weight: 1})
+	now := sec
+	var refused []*Ticket
+	var after []Nanos
+	for i := range 200 {
+		j := ask(0, 5, 100)
+		c, a := d.Arrive(now, j)
+		if c != Admitted && a.Ticket != nil {
+			refused, after = append(refused, a.Ticket), append(after, a.After)
+		}
+		if id, ok := d.Next(); ok && i%4 == 0 {
+			d.Let(now, id)
+		}
+		now += 10 * ms
+	}
+	if len(refused) < 50 {
+		t.Fatalf("%d booked", len(refused))
+	}
+	s := d.book.signer
+	for i := range refused {
+		b := s.Encode(refused[i])
+		if got, err := s.Decode(b); err != nil || *got != *refused[i] {
+			t.Fatalf("came back as %v, %v", got, err)
+		}
+		for k := range b { // no bit can be changed
+			b[k] ^= 1
+			if _, err := s.Decode(b); err == nil {
+				t.Fatalf("byte %d changed and taken", k)
+			}
+			b[k] ^= 1
+		}
+	}
+	if _, err := NewSigner([]byte("another")).Decode(s.Encode(refused[0])); err == nil {
+		t.Error("a ticket of another key was taken")
+	}
+	tk := refused[len(refused)-1]
+	at := tk.Slot * d.book.len
+	for _, c := range []struct {
+		name   string
+		now    Nanos
+		tenant int
+		client uint64
+		want   bool
+	}{
+		{"far too early", at - 3*d.book.len, 0, 5, false},
+		{"another tenant", at, 1, 5, false},
+		{"another client", at, 0, 6, false},
+		{"far too late", at + 6*d.book.len, 0, 5, false},
+		{"a little early", at - d.book.len/2, 0, 5, true},
+		{"twice", at, 0, 5, false},
+	} {
+		if got := d.book.redeem(c.now, c.tenant, c.client, tk); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	if d.book.redeem(at, 0, 5, &Ticket{Tenant: 0, Client: 5, Slot: tk.Slot, Serial: tk.Serial + 4000}) {
+		t.Error("a serial that was never given was taken")
+	}
+}
+
+// TestComingBack: those refused in one burst come back as advised and nearly all are let in, in time, also when they
+// come a little off their time or the pace has fallen to half meanwhile; the same crowd back at one instant, without
+// tickets, is refused again.
+func TestComingBack(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		pace  float64 // of the door after the burst
+		off   Nanos   // clocks run off by up to so much
+		least float64
+	}{{"as advised", 1, 0, 0.95}, {"clocks off", 1, 150 * ms, 0.95}, {"half the pace", 0.5, 0, 0.95}} {
+		t.Run(c.name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(3, 3))
+			d := newDoor(t, 256, Tenant{Weight: 1})
+			came := map[JobID]Nanos{}
+			type back struct {
+				at Nanos
+				t  *Ticket
+				j  Job
+			}
+			var backs []back
+			served := map[JobID]bool{}
+			done := func(id JobID, _ Nanos) { served[id] = true }
+			now, credit := sec, 0.0
+			turn := func(pace float64) {
+				for {
+					id, ok := d.Expired(now)
+					if !ok {
+						break
+					}
+					d.Refuse(now, id, TooLate)
+				}
+				serve(d, &credit, now, now+ms, pace, came, done)
+				now += ms
+			}
+			for range 300 { // a second and more of five times the pace
+				for range 5 {
+					j := ask(0, uint64(1+rng.IntN(500)), 100)
+					j.Deadline = now + 2*sec
+					if cause, a := d.Arrive(now, j); cause != Admitted {
+						if a.Ticket == nil {
+							continue
+						}
+						off := Nanos(0)
+						if c.off > 0 {
+							off = Nanos(rng.Int64N(2*c.off)) - c.off
+						}
+						backs = append(backs, back{now + a.After + off, a.Ticket, j})
+					}
+					came[j.ID] = now
+				}
+				for range 4 {
+					turn(25)
+				}
+			}
+			if len(backs) < 100 {
+				t.Fatalf("%d refused with a booking, %+v", len(backs), d.Counts(0))
+			}
+			tried, kept := 0, map[JobID]bool{}
+			for end := now + 80*sec; now < end; {
+				for i := range backs {
+					if b := &backs[i]; b.t != nil && now >= b.at {
+						j := b.j
+						orders++
+						j.ID, j.Deadline, j.Ticket = orders, now+2*sec, b.t
+						b.t = nil
+						tried++
+						if cause, _ := d.Arrive(now, j); cause == Admitted {
+							came[j.ID], kept[j.ID] = now, true
+						}
+					}
+				}
+				turn(25 * c.pace)
+			}
+			ok := 0
+			for id := range kept {
+				if served[id] {
+					ok++
+				}
+			}
+			share := float64(ok) / float64(tried)
+			t.Logf("%d came back as advised, %.3f of them were let in", tried, share)
+			if tried < 100 || share < c.least {
+				t.Errorf("%.3f of %d, want %.2f at least", share, tried, c.least)
+			}
+		})
+	}
+}
+
+// TestMemoryBound: ten thousand clients with one job each, then a flood of names: flows and jobs stay bounded.
+func TestMemoryBound(t *testing.T) {
+	d := newDoor(t, 2000, Tenant{Weight: 1})
+	for i := range 200000 {
+		now := Nanos(i) * ms / 10
+		j := ask(0, uint64(i+1), 100)
+		j.Source = uint64(i % 50000)
+		d.Arrive(now, j)
+		if id, ok := d.Next(); ok && i%3 == 0 {
+			d.Let(now, id)
+		}
+		if d.Waiting() > 2000 || d.Flows() > 2000+1024+1 {
+			t.Fatalf("%d waiting in %d flows", d.Waiting(), d.Flows())
+		}
+	}
+}
+
+func BenchmarkDoor(b *testing.B) {
+	for _, flows := range []int{10, 1000, 100000} {
+		b.Run(fmt.Sprint(flows), func(b *testing.B) {
+			d := newDoor(b, flows*3, Tenant{Weight: 1})
+			d.known.init(flows * 8)
+			for i := range flows {
+				meet(d, 1, 0, uint64(i+1))
+			}
+			next := uint64(0)
+			come := func() {
+				next++
+				j := ask(0, 1+next%uint64(flows), 100)
+				d.Arrive(Nanos(next), j)
+			}
+			for range 2 * flows {
+				come()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				come()
+				id, _ := d.Next()
+				j := d.jobs[id].Job
+				d.Let(Nanos(next), id)
+				d.Over(Nanos(next), j, true, 0)
+			}
+		})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -3,6 +3,8 @@
 package dispatch
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"fmt"
 	"log/slog"
 	"net/netip"
@@ -11,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/net/http2"
 
+	"docksail/internal/decide/door"
 	"docksail/internal/decide/gate"
 	"docksail/internal/decide/links"
 	"docksail/internal/decide/pace"
@@ -48,6 +51,14 @@
 	mod     Module
 	clients *front.Server
 	gate    gate.Gate
+	queue   *door.Door
+	signer  *door.Signer
+	secret  uint64 // keys the hashes of clients' names
+	expiry  loop.Timer
+	onLate  func(loop.Nanos)
+	inside  int // jobs that the module has and has not launched yet
+	running int // jobs that it has launched
+	advises int64
 	keeper  links.Keeper
 	life    uint64 // this start of the dispatcher, in what engines are told
 	wall    int64  // module time at the loop's 0: Unix nanoseconds
@@ -105,7 +116,12 @@
 	begun   loop.Nanos // the answer's first token came; 0 = not yet
 	last    loop.Nanos // its last token
 	waits   int        // bytes of the engine's window that wait for the client
-	ran     bool       // a launch was sent to a host that answers
+	given   policy.Job // as the module is told of it
+	ask     door.Job   // as the door is
+	atDoor  bool
+	let     bool  // the door has let it in, and not been told of its end
+	tokens  int64 // messages relayed
+	ran     bool  // a launch was sent to a host that answers
 
 	on      *link      // where the launch that is out is
 	stream  *h2.Stream // nil while its connection is under way
@@ -145,6 +161,22 @@
 	d.lim = h2.Limits{Streams: uint32(s.Limits.Streams), StreamWindow: uint32(s.Limits.StreamWindow),
 		ConnWindow: h2.Usual.ConnWindow, HeaderBytes: uint32(s.Limits.Headers), MessageBytes: uint32(s.Limits.Message)}
 	d.onWake = func(now loop.Nanos) { d.mod.Woken(d.time(now)) }
+	var key [40]byte
+	rand.Read(key[:])
+	d.signer, d.secret, d.advises = door.NewSigner(key[:32]), binary.LittleEndian.Uint64(key[32:]), int64(s.Answers.MaxAdvice)
+	if !s.Answers.Advice {
+		d.signer = nil
+	}
+	if d.queue, err = door.New(s.Limits.Waiting, s.Limits.Clients, shortest, d.signer); err != nil {
+		return nil, err
+	}
+	d.queue.FirstCome = s.FirstCome
+	for i, t := range s.Door() {
+		if err := d.queue.SetTenant(i, t); err != nil {
+			return nil, err
+		}
+	}
+	d.onLate = func(loop.Nanos) {} // the round looks
 	d.clients = front.New(l, d, d.lim, s.Limits.Connections, s.Limits.Output)
 	d.lister.init(d, s.Fleet)
 	return d, nil
@@ -160,14 +192,33 @@
 	return addr, nil
 }
 
-// Round is what the loop calls once a turn: decisions are pulled until there is none, then output is queued.
+// Round is what the loop calls once a turn: decisions are pulled until there is none, jobs that wait at the door are
+// let in as the module takes them, then output is queued.
 func (d *Dispatcher) Round(now loop.Nanos) {
-	for {
-		what, ok := d.mod.Next(d.time(now))
+	for n := d.queue.ToShed(d.l.Lag()); n > 0; n-- {
+		id, ok := d.queue.Heaviest()
 		if !ok {
 			break
 		}
-		d.do(now, what)
+		d.turnAway(now, policy.JobID(id), door.Shed)
+	}
+	for {
+		if what, ok := d.mod.Next(d.time(now)); ok {
+			d.do(now, what)
+			continue
+		}
+		if id, ok := d.queue.Expired(now); ok {
+			d.turnAway(now, policy.JobID(id), door.TooLate)
+			continue
+		}
+		if id, ok := d.queue.Next(); ok && d.queue.Open(d.inside, d.running) {
+			d.letIn(now, policy.JobID(id))
+			continue
+		}
+		break
+	}
+	if at, ok := d.queue.NextExpiry(); ok {
+		d.l.At(&d.expiry, max(at, now+1), d.onLate)
 	}
 	d.clients.Flush()
 	for _, k := range d.dirty {
@@ -180,6 +231,32 @@
 	}
 }
 
+// letIn hands a job that waited at the door to the module.
+func (d *Dispatcher) letIn(now loop.Nanos, id policy.JobID) {
+	d.queue.Let(now, door.JobID(id))
+	j := d.jobs.Find(id)
+	j.atDoor, j.let = false, true
+	d.inside++
+	d.mod.JobArrived(d.time(now), j.given)
+}
+
+// turnAway refuses a job that waits at the door.
+func (d *Dispatcher) turnAway(now loop.Nanos, id policy.JobID, why door.Cause) {
+	a := d.queue.Refuse(now, door.JobID(id), why)
+	j := d.jobs.Find(id)
+	j.atDoor = false
+	d.answer(j, func() { j.call.Nack(j.ID, d.refusal(why.String(), why.Own(), a)) }, &d.Counts.Nacked)
+	d.settle(j)
+}
+
+func (d *Dispatcher) refusal(why string, own bool, a door.Advice) front.Refusal {
+	no := front.Refusal{Why: why, Own: own, After: min(a.After, d.advises)}
+	if a.Ticket != nil && no.After == a.After {
+		no.Ticket = d.signer.Encode(a.Ticket)
+	}
+	return no
+}
+
 // InHand counts jobs in hand, Clients open connections of clients.
 func (d *Dispatcher) InHand() int { return d.jobs.Len() }
 
@@ -209,7 +286,7 @@
 				return
 			}
 			if gate.AtEnd(d.times[j.track].redoable && j.begun == 0, j.ran) == gate.Nacked {
-				d.answer(j, func() { j.call.Nack(j.ID, 0, "dispatcher leaves") }, &d.Counts.Nacked)
+				d.answer(j, func() { j.call.Nack(j.ID, front.Refusal{Why: "dispatcher leaves"}) }, &d.Counts.Nacked)
 			} else {
 				d.answer(j, func() { j.call.Abandon(j.ID, "dispatcher leaves") }, &d.Counts.Abandoned)
 			}
@@ -239,6 +316,16 @@
 // Name implements the door's core.
 func (d *Dispatcher) Name(id policy.JobID) string { return d.name(id) }
 
+// secretly hashes a name that strangers choose, under a key of this life's own; 0 stands for no name.
+func (d *Dispatcher) secretly(owner policy.TenantID, name []byte) uint64 {
+	if len(name) == 0 {
+		return 0
+	}
+	d.hash.ResetWithSeed(d.secret ^ uint64(owner)*0x9e3779b97f4a7c15)
+	d.hash.Write(name)
+	return max(d.hash.Sum64(), 1)
+}
+
 // ---- What clients do.
 
 // Arrive takes a job from the door.
@@ -270,21 +357,38 @@
 		}
 		return 0, fmt.Errorf("%s, %d tokens of at most %d: %w", cause, r.Prompt, d.gate.Prompt, front.ErrBad)
 	}
-	d.Counts.Jobs++
+	ask := door.Job{Tenant: max(int(tenant), 0), Client: d.secretly(tenant, r.Client), Source: d.secretly(-1, r.Source[:]), Prompt: r.Prompt,
+		Answer: r.Most, Expected: t.expected + t.per1k*r.Prompt/1000, Deadline: now + left}
+	if r.Ticket != nil && d.signer != nil {
+		if ticket, err := d.signer.Decode(r.Ticket); err == nil {
+			ask.Ticket = ticket
+		}
+	}
 	id, j := d.jobs.Add()
+	ask.ID = door.JobID(id)
+	if cause, advice := d.queue.Arrive(now, ask); cause != door.Admitted {
+		d.jobs.Drop(id)
+		d.Counts.Refused++
+		if cause == door.TooLong {
+			return 0, fmt.Errorf("%s, %d tokens: %w", cause, r.Prompt, front.ErrBad)
+		}
+		return 0, d.refusal(cause.String(), cause.Own(), advice)
+	}
+	ask.Ticket = nil
+	d.Counts.Jobs++
 	*j = job{Account: jobs.Account{ID: id}, call: call, raw: append(j.raw[:0], r.Raw...), track: track,
-		repeat: uint32(r.Repeat), trace: r.Trace, arrived: now, timer: j.timer, onTimer: j.onTimer, d: d}
+		repeat: uint32(r.Repeat), trace: r.Trace, arrived: now, timer: j.timer, onTimer: j.onTimer, d: d, ask: ask, atDoor: true}
 	if j.onTimer == nil {
 		j.onTimer = j.due
 	}
 	if r.Timeout > 0 {
 		j.ends = now + r.Timeout
 	}
-	d.mod.JobArrived(d.time(now), policy.Job{ID: id, Track: track, Tenant: tenant,
+	j.given = policy.Job{ID: id, Track: track, Tenant: tenant,
 		Session: policy.SessionKey(d.key('s', tenant, r.Session)),
 		Prefix:  policy.PrefixKey(d.key('b', tenant, r.Beginning)),
 		Prompt:  r.Prompt, Shared: r.Shared, Cap: r.Most, Deadline: d.time(now + left), Hint: policy.Nanos(r.Hint),
-		Repeat: r.Repeat > 0})
+		Repeat: r.Repeat > 0}
 	return id, nil
 }
 
@@ -298,6 +402,12 @@
 
 // left tells the module that nothing more is owed, and ends a stream that nobody reads.
 func (d *Dispatcher) left(now loop.Nanos, j *job) {
+	if j.atDoor {
+		j.atDoor = false
+		d.queue.Cancel(now, door.JobID(j.ID))
+		d.settle(j)
+		return
+	}
 	d.mod.ClientLeft(d.time(now), j.ID)
 	if j.begun > 0 {
 		d.ended(now, j, policy.Recalled, true, policy.NoLoad)
@@ -327,6 +437,20 @@
 	give()
 	j.call = front.Call{}
 	*count++
+	d.over(j, count == &d.Counts.Honoured)
+}
+
+// over tells the door that a job which it let in has its answer.
+func (d *Dispatcher) over(j *job, served bool) {
+	if j.let {
+		j.let = false
+		d.queue.Over(d.l.Now(), j.ask, served, j.tokens)
+		if j.Launches() == 0 {
+			d.inside--
+		} else {
+			d.running--
+		}
+	}
 }
 
 // settle frees the place of a job for which nothing is owed, out or held.
@@ -366,7 +490,13 @@
 			d.ended(now, j, policy.Recalled, false, policy.NoLoad)
 		}
 	case policy.Nack:
-		d.answer(j, func() { j.call.Nack(j.ID, loop.Nanos(what.For), "no engine could take it in time") }, &d.Counts.Nacked)
+		no := front.Refusal{Why: "no engine could take it in time"}
+		if what.For > 0 { // the module's advice at least; the door books a place
+			a := d.queue.Again(now, j.ask)
+			a.After = max(a.After, loop.Nanos(what.For))
+			no = d.refusal(no.Why, false, a)
+		}
+		d.answer(j, func() { j.call.Nack(j.ID, no) }, &d.Counts.Nacked)
 	case policy.Abandon:
 		d.answer(j, func() { j.call.Abandon(j.ID, "its time is up") }, &d.Counts.Abandoned)
 	case policy.LetGo:
@@ -391,6 +521,10 @@
 		return
 	}
 	d.Counts.Launches++
+	if shot == 0 {
+		d.inside--
+		d.running++
+	}
 	j.host, j.sent, j.within, j.on, j.stream = to, now, within, nil, nil
 	e := d.engines[to]
 	if e == nil {
@@ -516,3 +650,12 @@
 		*f.to += f.from
 	}
 }
+
+// Queue gives the door's view: jobs waiting, flows remembered, and what was counted of each tenant, in the settings'
+// order.
+func (d *Dispatcher) Queue() (waiting, flows int, tenants []door.Counts) {
+	for i := range max(len(d.tenants), 1) {
+		tenants = append(tenants, d.queue.Counts(i))
+	}
+	return d.queue.Waiting(), d.queue.Flows(), tenants
+}
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -348,6 +348,7 @@
 		k.d.began(k.now, j)
 	}
 	j.last = k.now
+	j.tokens++
 	k.d.Counts.Tokens++
 	if !j.call.Tokens(j.ID, p) {
 		return false
--- /dev/null
+++ b/internal/e2e/door_test.go
@@ -0,0 +1,229 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+
+	pb "docksail/api/docksail/v1"
+	"docksail/internal/dispatch"
+	"docksail/internal/lab/drill"
+)
+
+// crowd is a day on which one client of many asks for more than the fleet bears; the tests change it.
+const crowd = `{
+  "for": "8s", "sessions_per_second": 60, "lister_late": "50ms", "release_within": "500ms", "launches": 5, "jobs_waiting": 400,
+  "cold_start": {"from": 1, "warm_after": "1s", "topples_at": 100, "topples_over": "1s"},
+  "fleet": [
+    {"count": 2, "role": "reader", "zone": "a", "cell": "a1", "slots": 8, "queue": 60, "reads_per_second": 6000, "jobs_per_second": 17},
+    {"count": 2, "role": "writer", "zone": "a", "cell": "a1", "slots": 32, "queue": 60, "token_gap": "5ms", "jobs_per_second": 40}
+  ],
+  "dispatchers": [{"zone": "a"}],
+  "tracks": [
+    {"name": "small", "share": SMALL, "expected": "1s", "patience": "4s", "token_gap": "50ms", "effect": "redoable",
+     "prompt": 300, "prompt_most": 400, "answer": 20, "retries": 2, "clients": 6},
+    {"name": "flood", "share": FLOOD, "expected": "1s", "patience": "4s", "token_gap": "50ms", "effect": "redoable",
+     "prompt": 300, "prompt_most": 400, "answer": 20, "retries": 2, HOW}
+  ]
+}`
+
+func crowdDay(t *testing.T, flood bool, how string) *drill.Script {
+	t.Helper()
+	small, much := "0.1", "0.9"
+	text := crowd
+	if !flood {
+		small, much = "1", "0"
+		text = strings.Replace(text, `"sessions_per_second": 60`, `"sessions_per_second": 6`, 1)
+	}
+	s, err := drill.Parse("crowd", []byte(strings.NewReplacer("SMALL", small, "FLOOD", much, "HOW", how).Replace(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func p(first []time.Duration, q float64) time.Duration {
+	if len(first) == 0 {
+		return 0
+	}
+	slices.Sort(first)
+	return first[int(q*float64(len(first)-1))]
+}
+
+// TestFloodOfOneClient: under one name, under made-up names, and ignoring all advice. The small clients' wait stays
+// within a small factor of the same day without the flood, and far from what order of arrival makes of it.
+func TestFloodOfOneClient(t *testing.T) {
+	quietDay := playScript(t, crowdDay(t, false, `"clients": 1`), nil)
+	calmP50, calmP99 := p(quietDay.Sums["small"].First, 0.5), p(quietDay.Sums["small"].First, 0.99)
+	for _, c := range []struct{ name, how string }{
+		{"one name", `"clients": 1`},
+		{"made-up names", `"made_up": true`},
+		{"no advice taken", `"clients": 1, "no_advice": true`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			fair := playScript(t, crowdDay(t, true, c.how), nil)
+			s := crowdDay(t, true, c.how)
+			s.FirstCome = true
+			first := playScript(t, s, nil)
+			a, b := fair.Sums["small"], first.Sums["small"]
+			t.Logf("small clients, p50/p99 to the first token: without the flood %v/%v, with it %v/%v, in order of arrival %v/%v; honoured %d of %d, in order of arrival %d of %d",
+				calmP50, calmP99, p(a.First, 0.5), p(a.First, 0.99), p(b.First, 0.5), p(b.First, 0.99), a.Honoured, a.Jobs, b.Honoured, b.Jobs)
+			for _, rep := range []*drill.Report{fair, first} {
+				if len(rep.Violations) > 0 || rep.Counts.Guarded > 0 {
+					t.Errorf("%v, %d decisions refused", rep.Violations, rep.Counts.Guarded)
+				}
+			}
+			if got := p(a.First, 0.5); got > 4*calmP50+100*time.Millisecond {
+				t.Errorf("half of the small clients waited %v and more, without the flood %v", got, calmP50)
+			}
+			if a.Honoured < a.Jobs*9/10 {
+				t.Errorf("%d of %d small jobs honoured in the flood", a.Honoured, a.Jobs)
+			}
+		})
+	}
+}
+
+// TestAdviceHolds: of those who come back when they were told to, nearly all are honoured.
+func TestAdviceHolds(t *testing.T) {
+	s := crowdDay(t, true, `"clients": 200`)
+	s.Waiting = 24
+	for i := range s.Load {
+		s.Load[i].Patience, s.Load[i].Retries = 12*time.Second, 3
+	}
+	rep := playScript(t, s, nil)
+	back, kept := 0, 0
+	for _, sum := range rep.Sums {
+		back, kept = back+sum.Back, kept+sum.BackKept
+	}
+	if back < 20 {
+		t.Fatalf("%d came back with a booking: the day refuses nobody", back)
+	}
+	if share := float64(kept) / float64(back); share < 0.95 {
+		t.Errorf("%d came back as advised, %.3f of them honoured, want 0.95", back, share)
+	}
+	if len(rep.Violations) > 0 {
+		t.Error(rep.Violations)
+	}
+}
+
+// TestTenThousandClients: each sends one job at once; every one is answered, memory stays flat.
+func TestTenThousandClients(t *testing.T) {
+	st, client := stage(t, func(s *drill.Script) { s.Waiting = 500 })
+	clients := []pb.GenerationClient{client}
+	for range 7 {
+		clients = append(clients, dial(t, st.Targets()[0]))
+	}
+	if _, s, _ := ask(context.Background(), client, job("first")); s.Code() != codes.OK {
+		t.Fatal(s)
+	}
+	flows, heap := 0, uint64(0)
+	var mu sync.Mutex
+	ends := map[codes.Code]int{}
+	noAdvice := 0
+	crowd := func(name string) {
+		var wg sync.WaitGroup
+		for i := range 10000 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				req := job(fmt.Sprint(name, i))
+				req.Client = req.Label
+				ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+				defer cancel()
+				_, s, md := ask(ctx, clients[i%len(clients)], req)
+				mu.Lock()
+				ends[s.Code()]++
+				if s.Code() == codes.Unavailable && (len(s.Details()) == 0 || len(md.Get("grpc-retry-pushback-ms")) == 0) {
+					noAdvice++
+				}
+				mu.Unlock()
+			}()
+			if i%1000 == 0 {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}
+		wg.Wait()
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		heap = m.HeapAlloc
+		st.Dispatcher(0).Ask(func(d *dispatch.Dispatcher) {
+			w, f, _ := d.Queue()
+			if w != 0 || d.InHand() != 0 {
+				t.Errorf("%d wait and %d are in hand when all are answered", w, d.InHand())
+			}
+			flows = f
+		})
+	}
+	crowd("a")
+	before := heap
+	crowd("b")
+	t.Logf("ends %v, flows remembered %d, heap %d then %d bytes", ends, flows, before, heap)
+	if n := ends[codes.OK] + ends[codes.Unavailable]; n != 20000 || ends[codes.OK] == 0 || noAdvice > 0 {
+		t.Errorf("ended as %v, %d nacks without advice; want all honoured or nacked with advice", ends, noAdvice)
+	}
+	if heap > before+(8<<20) {
+		t.Errorf("heap grew from %d to %d bytes over the second crowd", before, heap)
+	}
+	clean(t, st)
+}
+
+// TestWaitingIsTaken: jobs that wait at the door when the dispatcher drains are answered, each once; those that leave
+// leave no trace.
+func TestWaitingIsTaken(t *testing.T) {
+	st, client := stage(t, nil)
+	hang(st, 1, 2)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	ends := map[codes.Code]int{}
+	for i := range 60 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if i%3 == 0 {
+				time.AfterFunc(150*time.Millisecond, cancel)
+			}
+			_, s, _ := ask(ctx, client, job(fmt.Sprint("waits", i)))
+			mu.Lock()
+			ends[s.Code()]++
+			mu.Unlock()
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	r := st.Dispatcher(0)
+	r.Drain(300 * time.Millisecond)
+	wg.Wait()
+	if ends[codes.Unavailable] != 40 || ends[codes.Canceled] != 20 {
+		t.Errorf("ended as %v, want 40 nacked and 20 left", ends)
+	}
+	select {
+	case <-r.Done():
+	case <-time.After(3 * time.Second):
+		t.Fatal("the dispatcher did not end")
+	}
+	for _, v := range st.Check() {
+		t.Error(v)
+	}
+}
+
+// TestForgedTickets: a ticket that was changed, used, or another client's brings nothing, and no error either.
+func TestForgedTickets(t *testing.T) {
+	st, client := stage(t, nil)
+	for _, ticket := range []string{"", "x", strings.Repeat("y", 44), strings.Repeat("z", 5000)} {
+		ctx := metadata.AppendToOutgoingContext(context.Background(), "docksail-ticket-bin", ticket)
+		if _, s, _ := ask(ctx, client, job("forged")); s.Code() != codes.OK {
+			t.Errorf("ticket of %d bytes: %v, want the job taken as any other", len(ticket), s)
+		}
+	}
+	clean(t, st)
+}
--- a/internal/front/grpc/grpc.go
+++ b/internal/front/grpc/grpc.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 
 	"golang.org/x/net/http2"
@@ -42,8 +43,10 @@
 
 // Refusal is an error that says when to come back.
 type Refusal struct {
-	Why   string
-	After loop.Nanos // 0 = at once, elsewhere
+	Why    string
+	After  loop.Nanos // 0 = at once, elsewhere
+	Own    bool       // a limit of the caller's own was met
+	Ticket []byte     // to be brought back then; nil = none
 }
 
 func (r Refusal) Error() string { return r.Why }
@@ -129,13 +132,13 @@
 	return true
 }
 
-func (s *Server) accept(lc *loop.Conn, _ netip.AddrPort) loop.Handler {
+func (s *Server) accept(lc *loop.Conn, from netip.AddrPort) loop.Handler {
 	if len(s.conns) >= s.most {
 		s.Counts.TurnedAway++
 		return nil
 	}
 	s.Counts.Accepted++
-	c := &conn{s: s, lc: lc}
+	c := &conn{s: s, lc: lc, from: from.Addr().As16()}
 	c.h = h2.NewServer(s.lim, c)
 	lc.Bound(s.output)
 	s.conns[c] = struct{}{}
@@ -150,6 +153,7 @@
 	now   loop.Nanos
 	dirty bool
 	heard bool
+	from  [16]byte
 	greet loop.Timer
 }
 
@@ -239,6 +243,11 @@
 		}
 		call.repeat = int64(n)
 	}
+	if v := h.Get(ticketHeader); v != "" {
+		if t, err := base64.RawStdEncoding.DecodeString(strings.TrimRight(v, "=")); err == nil {
+			call.ticket = t
+		}
+	}
 	call.trace = h.Get("traceparent")
 	call.came = c.now
 	s.Tag = call
@@ -249,6 +258,7 @@
 	timeout, repeat int64
 	came            loop.Nanos
 	trace           string
+	ticket          []byte
 }
 
 func (c *conn) bad(s *h2.Stream, err error) {
@@ -266,7 +276,7 @@
 			c.bad(s, err)
 			return false
 		}
-		r.Timeout, r.Repeat, r.Trace = tag.timeout, tag.repeat, tag.trace
+		r.Timeout, r.Repeat, r.Trace, r.Ticket, r.Source = tag.timeout, tag.repeat, tag.trace, tag.ticket, c.from
 		if r.Timeout > 0 {
 			r.Timeout = max(1, r.Timeout-(c.now-tag.came))
 		}
@@ -278,7 +288,7 @@
 		case err == nil:
 			s.Ref = uint64(id)
 		case errors.As(err, &no):
-			Call{c, s}.Nack(0, no.After, no.Why)
+			Call{c, s}.Nack(0, no)
 		default:
 			c.bad(s, err)
 		}
@@ -341,15 +351,24 @@
 	a.end(id, codes.Aborted, "abandoned: "+why, hpack.HeaderField{Name: "grpc-retry-pushback-ms", Value: "-1"})
 }
 
-// Nack ends the call with UNAVAILABLE: trying again is harmless, best after so many nanoseconds.
-func (a Call) Nack(id policy.JobID, after loop.Nanos, why string) {
-	ms := (after + 1e6 - 1) / 1e6
-	why = "nacked: " + why
-	a.end(id, codes.Unavailable, why,
-		hpack.HeaderField{Name: "grpc-retry-pushback-ms", Value: strconv.FormatInt(ms, 10)},
-		hpack.HeaderField{Name: "grpc-status-details-bin", Value: details(codes.Unavailable, why, after)})
+// Nack ends the call with UNAVAILABLE, or RESOURCE_EXHAUSTED where a limit of the caller's own was met: trying again
+// is harmless, best after so many nanoseconds.
+func (a Call) Nack(id policy.JobID, no Refusal) {
+	ms := (no.After + 1e6 - 1) / 1e6
+	why, code := "nacked: "+no.Why, codes.Unavailable
+	if no.Own {
+		code = codes.ResourceExhausted
+	}
+	extra := []hpack.HeaderField{{Name: "grpc-retry-pushback-ms", Value: strconv.FormatInt(ms, 10)},
+		{Name: "grpc-status-details-bin", Value: details(code, why, no.After)}}
+	if no.Ticket != nil {
+		extra = append(extra, hpack.HeaderField{Name: ticketHeader, Value: base64.RawStdEncoding.EncodeToString(no.Ticket)})
+	}
+	a.end(id, code, why, extra...)
 }
 
+const ticketHeader = "docksail-ticket-bin"
+
 func (a Call) end(id policy.JobID, code codes.Code, why string, extra ...hpack.HeaderField) {
 	if id != 0 && !a.s.Headed() {
 		extra = append(extra, hpack.HeaderField{Name: "docksail-job", Value: a.c.s.core.Name(id)})
--- a/internal/front/grpc/request.go
+++ b/internal/front/grpc/request.go
@@ -16,6 +16,9 @@
 	Session   []byte
 	Beginning []byte
 	Label     []byte
+	Client    []byte
+	Source    [16]byte // address it comes from
+	Ticket    []byte   // as a refusal gave it; nil = none
 	Prompt    int64
 	Shared    int64
 	Most      int64
@@ -55,6 +58,8 @@
 			val = &r.Most
 		case 8:
 			to = &r.Label
+		case 12:
+			to = &r.Client
 		case 9:
 			val, most = &r.Patience, 1<<62
 		case 10:
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -44,6 +44,9 @@
 	Irreversible       bool          // only a nack is followed by another try
 	Leave              float64       // share of the tries that the client leaves, at a random point
 	Idle               time.Duration // between turns
+	Clients            int           // how many name themselves; 0 = none does
+	Deaf               bool          // comes back at once, whatever it is told
+	Made               bool          // makes up a new name for each job
 }
 
 // Load is a stream of sessions.
@@ -61,6 +64,7 @@
 type Sum struct {
 	Jobs, Honoured, OnTime, Nacked, Abandoned, Left, Unanswered, Wrong int
 	Tries                                                              int
+	Back, BackKept                                                     int // tries with a booking, and those honoured
 	Payoff, Asked                                                      float64
 	First                                                              []time.Duration // to the first token, of those honoured
 }
@@ -148,7 +152,14 @@
 // session plays one conversation: each turn's prompt holds all that went before.
 func (r *runner) session(ctx context.Context, n int, t Track, heavy int, rng *rand.Rand) {
 	prompt := 0
-	req := &pb.GenerateRequest{Track: t.Name, Tenant: t.Tenant, Session: "s" + strconv.Itoa(n), MaxTokens: uint32(t.Answer)}
+	name := ""
+	if t.Made {
+		name = fmt.Sprintf("%s-made-%d", t.Name, n)
+	} else if t.Clients > 0 {
+		name = fmt.Sprintf("%s-%d", t.Name, n%t.Clients)
+	}
+	req := &pb.GenerateRequest{Track: t.Name, Tenant: t.Tenant, Session: "s" + strconv.Itoa(n), MaxTokens: uint32(t.Answer),
+		Client: name}
 	if t.Beginning > 0 {
 		// A few beginnings are shared by most.
 		req.Beginning = "b" + strconv.Itoa(int(float64(max(t.Beginnings, 1))*rng.Float64()*rng.Float64()))
@@ -185,6 +196,7 @@
 	}
 	sum(func(s *Sum) { s.Jobs++; s.Asked += worth })
 	at := rng.IntN(len(r.conns))
+	ticket := ""
 	for try := 0; ; try++ {
 		left := t.Patience + 2*t.Per1k*time.Duration(req.PromptTokens)/1000 - time.Since(begin)
 		if left <= 0 {
@@ -193,7 +205,16 @@
 		}
 		sum(func(s *Sum) { s.Tries++ })
 		target := r.conns[at][int(r.turn.Add(1))%len(r.conns[at])]
-		res := r.try(ctx, target, t, req, try, left, rng)
+		res := r.try(ctx, target, t, req, try, left, ticket, rng)
+		if ticket != "" {
+			sum(func(s *Sum) {
+				s.Back++
+				if res.code == codes.OK {
+					s.BackKept++
+				}
+			})
+		}
+		ticket = res.ticket
 		switch {
 		case res.code == codes.OK && res.wrong:
 			sum(func(s *Sum) { s.Wrong++ })
@@ -213,7 +234,7 @@
 			sum(func(s *Sum) { s.Left++; s.Asked -= worth })
 			return 0, false
 		}
-		nacked := res.code == codes.Unavailable && res.final
+		nacked := (res.code == codes.Unavailable || res.code == codes.ResourceExhausted) && res.final
 		again := nacked || !t.Irreversible
 		wait := res.after
 		if res.after < 0 {
@@ -223,7 +244,11 @@
 			at = (at + 1) % len(r.conns)
 			wait = 50 * time.Millisecond
 		}
-		wait = time.Duration(float64(wait) * (1 + 0.2*rng.Float64()))
+		if t.Deaf {
+			wait = 0
+		} else if ticket == "" { // without a booking, spread
+			wait = time.Duration(float64(wait) * (1 + 0.2*rng.Float64()))
+		}
 		if !again || try >= t.Retries || time.Since(begin)+wait >= t.Patience || ctx.Err() != nil {
 			sum(func(s *Sum) {
 				switch {
@@ -253,10 +278,11 @@
 	first  time.Time
 	tokens int
 	after  time.Duration
+	ticket string
 }
 
 func (r *runner) try(ctx context.Context, c pb.GenerationClient, t Track, req *pb.GenerateRequest, try int,
-	left time.Duration, rng *rand.Rand) outcome {
+	left time.Duration, ticket string, rng *rand.Rand) outcome {
 	call := t.Call
 	if call == 0 {
 		call = left + time.Duration(req.MaxTokens)*200*time.Millisecond
@@ -266,6 +292,9 @@
 	if try > 0 {
 		ctx = metadata.AppendToOutgoingContext(ctx, "grpc-previous-rpc-attempts", strconv.Itoa(try))
 	}
+	if ticket != "" {
+		ctx = metadata.AppendToOutgoingContext(ctx, "docksail-ticket-bin", ticket)
+	}
 	leaves := -1
 	var quit atomic.Bool
 	if rng.Float64() < t.Leave {
@@ -343,6 +372,9 @@
 		note(book.Quit, "", job)
 	case len(push) > 0:
 		res.final = true
+		if v := md.Get("docksail-ticket-bin"); len(v) > 0 && !t.Deaf {
+			res.ticket = v[0]
+		}
 		ms, _ := strconv.Atoi(push[0])
 		res.after = time.Duration(ms) * time.Millisecond
 		for _, d := range st.Details() {
--- a/internal/lab/drill/script.go
+++ b/internal/lab/drill/script.go
@@ -30,6 +30,8 @@
 	Load        []Track      `json:"tracks" need:"a list of tracks"`
 	Troubles    []Trouble    `json:"troubles"`
 	Most        int64        `json:"launches"`
+	FirstCome   bool         `json:"first_come"`   // the door keeps no order but that of arrival
+	Waiting     int          `json:"jobs_waiting"` // at the door; 0 = the usual
 }
 
 // Dur is a length of time as text.
@@ -85,6 +87,10 @@
 	Retries    int          `json:"retries"`
 	Leave      float64      `json:"leave"`
 	Idle       Dur          `json:"idle"`
+	Clients    int          `json:"clients"`   // that name themselves
+	Deaf       bool         `json:"no_advice"` // come back at once whatever they are told
+	Made       bool         `json:"made_up"`   // a new name for each job
+	Weight     float64      `json:"weight"`    // of its tenant
 }
 
 // Trouble is one thing that goes wrong.
@@ -219,13 +225,17 @@
 	d.Launches.Connect = 250 * time.Millisecond
 	d.Rules.Release = s.Release
 	d.Cold = setup.Cold{From: s.Cold.From, Warm: s.Cold.Warm, Multiple: s.Cold.Multiple, Window: s.Cold.Window}
+	d.FirstCome = s.FirstCome
+	if s.Waiting > 0 {
+		d.Limits.Waiting = s.Waiting
+	}
 	tenants := map[string]bool{}
 	for _, t := range s.Load {
 		d.Tracks = append(d.Tracks, setup.Track{Name: t.Name, Expected: t.Expected, ExpectedPer1k: t.Per1k,
 			Patience: t.Patience, Payoff: t.Payoff, TokenGap: t.TokenGap, Effect: t.Effect, Group: t.Group, Window: t.Window})
 		if t.Tenant != "" && !tenants[t.Tenant] {
 			tenants[t.Tenant] = true
-			d.Tenants = append(d.Tenants, setup.Tenant{Name: t.Tenant, PerSecond: s.Rate})
+			d.Tenants = append(d.Tenants, setup.Tenant{Name: t.Tenant, PerSecond: s.Rate, Weight: t.Weight})
 		}
 	}
 	return d
@@ -238,6 +248,7 @@
 		ts = append(ts, client.Track{Name: t.Name, Share: t.Share, Tenant: t.Tenant, Turns: t.Turns, Prompt: t.Prompt,
 			PromptMost: t.PromptMost, Beginning: t.Beginning, Beginnings: t.Beginnings, Answer: t.Answer, Expected: t.Expected,
 			Per1k: t.Per1k, Patience: t.Patience, Payoff: max(t.Payoff, 1), Retries: t.Retries, Leave: t.Leave, Idle: t.Idle,
+			Clients: t.Clients, Deaf: t.Deaf, Made: t.Made,
 			Irreversible: policy.Effect(t.Effect) != policy.Redoable})
 	}
 	return ts
--- a/internal/lab/drill/stage.go
+++ b/internal/lab/drill/stage.go
@@ -528,6 +528,13 @@
 	c := r.Counts
 	fmt.Fprintf(w, "dispatchers: %d launches, %d recalled, %d late, %d broken, %d releases, %d reports (%d late), %d refused at the gate, "+
 		"%d guarded\n", c.Launches, c.Recalls, c.Late, c.Broken, c.Releases, c.Reports, c.LateReports, c.Refused, c.Guarded)
+	back, kept := 0, 0
+	for _, s := range r.Sums {
+		back, kept = back+s.Back, kept+s.BackKept
+	}
+	if back > 0 {
+		fmt.Fprintf(w, "back as advised: %d, %.3f of them honoured\n", back, float64(kept)/float64(back))
+	}
 	if len(r.Violations) == 0 {
 		fmt.Fprintf(w, "rules: all five kept, over %d launches on the sockets, in %v\n", r.Launches, r.Took.Round(time.Second))
 		return
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -55,10 +55,11 @@
 		return err
 	}
 	f := Fleet{Lister: l.Addr()}
-	for i := range 4 {
+	const readers, hosts = 8, 48 // as many answers at a writer as they have slots for in earnest: some hundred
+	for i := range hosts {
 		s := engine.Spec{ID: i + 1, Role: pb.Role_ROLE_READER, Zone: "a", Cell: "a1", Slots: 20000, Queue: 20000, Memory: 1 << 40,
 			ReadRate: 1e9, TokenGap: gap, JobsPerSecond: 1e6, ColdFrom: 1, MoveRate: 1e9, Hold: time.Minute}
-		if i >= 2 {
+		if i >= readers {
 			s.Role, s.Slots = pb.Role_ROLE_WRITER, 1<<30
 		}
 		e := engine.New(s, steady{gap}, nil)
@@ -66,7 +67,7 @@
 			return err
 		}
 		l.Set(&pb.Host{Id: uint32(s.ID), Address: e.Addr(), Role: s.Role, Zone: "a", Cell: "a1", Health: pb.Health_HEALTH_SERVING}, true)
-		if i < 2 {
+		if i < readers {
 			f.Readers = append(f.Readers, e.Addr())
 		} else {
 			f.Writers = append(f.Writers, e.Addr())
@@ -212,7 +213,7 @@
 					jobs.Add(1)
 				} else if ctx.Err() == nil {
 					failed.Add(1)
-					time.Sleep(10 * time.Millisecond)
+					time.Sleep(250 * time.Millisecond)
 				}
 			}
 			mu.Lock()
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"docksail/internal/decide/door"
 	"docksail/internal/state/fleet"
 	"docksail/policy"
 )
@@ -28,6 +29,7 @@
 	Answers   Answers        `json:"answers"`
 	Rules     Rules          `json:"rules" need:"the times of the rules"`
 	Limits    Limits         `json:"limits"`
+	FirstCome bool           `json:"first_come"`   // the door lets jobs in as they came: a baseline to measure against
 	Drain     time.Duration  `json:"drain_within"` // jobs in hand have so long after the signal to leave
 }
 
@@ -57,6 +59,11 @@
 type Tenant struct {
 	Name      string  `json:"name" need:"a name"`
 	PerSecond float64 `json:"jobs_per_second" need:"the jobs a second it is entitled to, over all dispatchers"`
+	Weight    float64 `json:"weight"`          // its part at the door; 0 = as jobs_per_second
+	Rate      float64 `json:"most_per_second"` // jobs a second that this dispatcher takes of it; 0 = no limit
+	Waiting   int     `json:"most_waiting"`    // its jobs at the door; 0 = as many as fit
+	Running   int     `json:"most_running"`    // its jobs let in and not over; 0 = no limit
+	Prompt    int64   `json:"prompt_tokens"`   // of one job; 0 = the limit of all
 }
 
 // Cold is what hosts bear that have just started.
@@ -99,6 +106,8 @@
 	Headers      int `json:"header_bytes"`
 	Prompt       int `json:"prompt_tokens"`
 	Output       int `json:"output_bytes"` // queued for one connection
+	Waiting      int `json:"jobs_waiting"` // at the door
+	Clients      int `json:"clients_known"`
 }
 
 // Effect says what a repeated run of a job would do: redoable, labelled or irreversible.
@@ -192,6 +201,9 @@
 		}
 		names["tenant "+t.Name] = true
 		above(at+".jobs_per_second", t.PerSecond)
+		if t.Weight < 0 || t.Rate < 0 || t.Waiting < 0 || t.Running < 0 || t.Prompt < 0 {
+			d.bad(at, "has a weight or limit below 0, want 0 for the usual or more")
+		}
 	}
 	if s.Cold.From <= 0 || s.Cold.From > 1 {
 		d.bad("cold_start.from", "is %v, want more than 0 and at most 1", s.Cold.From)
@@ -217,7 +229,7 @@
 		low  int
 	}{{"jobs", s.Limits.Jobs, 1}, {"connections", s.Limits.Connections, 1}, {"streams", s.Limits.Streams, 1},
 		{"stream_window", s.Limits.StreamWindow, 1 << 10}, {"message_bytes", s.Limits.Message, 1 << 10},
-		{"header_bytes", s.Limits.Headers, 1 << 10}, {"prompt_tokens", s.Limits.Prompt, 1},
+		{"header_bytes", s.Limits.Headers, 1 << 10}, {"prompt_tokens", s.Limits.Prompt, 1}, {"jobs_waiting", s.Limits.Waiting, 1}, {"clients_known", s.Limits.Clients, 1},
 		{"output_bytes", s.Limits.Output, 64 << 10}} {
 		if l.n < l.low || l.n > 1<<30 {
 			d.bad("limits."+l.name, "is %d, want %d to %d", l.n, l.low, 1<<30)
@@ -225,6 +237,22 @@
 	}
 }
 
+// Door gives what tenants may do at the door; where the settings name none, all jobs are one tenant's.
+func (s *Dispatcher) Door() []door.Tenant {
+	if len(s.Tenants) == 0 {
+		return []door.Tenant{{Weight: 1}}
+	}
+	var ts []door.Tenant
+	for _, t := range s.Tenants {
+		w := t.Weight
+		if w == 0 {
+			w = t.PerSecond
+		}
+		ts = append(ts, door.Tenant{Weight: w, Rate: t.Rate, Waiting: t.Waiting, Running: t.Running, PromptMax: t.Prompt})
+	}
+	return ts
+}
+
 // Module starts the decision module that the settings describe. zone numbers the dispatcher's own zone; kinds of
 // host are the roles in their order.
 func (s *Dispatcher) Module(seed uint64, zone policy.ZoneID) (*policy.Dispatcher, error) {
@@ -265,7 +293,7 @@
 	return &Dispatcher{Count: 1, Launches: Launches{Most: 5, Recall: true, Connect: time.Second},
 		Answers: Answers{Ahead: 20 * time.Millisecond, Round: time.Millisecond, Advice: true, MaxAdvice: time.Minute},
 		Fleet:   Fleet{Retry: 4 * time.Second}, Rules: Rules{Drain: 500 * time.Millisecond}, Drain: 30 * time.Second,
-		Limits: Limits{Jobs: 20000, Connections: 20000, Streams: 10000, StreamWindow: 64 << 10, Message: 4 << 20,
+		Limits: Limits{Waiting: 10000, Clients: 16384, Jobs: 20000, Connections: 20000, Streams: 10000, StreamWindow: 64 << 10, Message: 4 << 20,
 			Headers: 16 << 10, Prompt: 1 << 20, Output: 4 << 20}}
 }
 
