The door follows the module one job at a time; jobs wait only while they can be in time

Cause: the door let in several jobs that the module had not launched, which the module nacked after an eighth of their expected time, bookings with them; and it kept jobs waiting for half of their patience. Change: one fresh unlaunched job at a time, the pace is what the module launches, jobs wait half of their expected time at most; the load's tracks come from addresses of their own.

--- a/internal/decide/door/book.go
+++ b/internal/decide/door/book.go
@@ -9,8 +9,8 @@
 	"math"
 )
 
-// drain measures how much cost the door lets in a nanosecond while jobs wait: only then is it the pace of what
-// stands behind it.
+// drain measures how much cost is taken a nanosecond while jobs wait: only then is it the pace of what stands
+// behind the door.
 type drain struct {
 	memory Nanos
 	since  Nanos // jobs wait since then; 0 = none does
@@ -36,7 +36,10 @@
 	r.since = now
 }
 
-func (r *drain) let(now Nanos, cost float64) {
+func (r *drain) taken(now Nanos, cost float64) {
+	if r.since == 0 {
+		return
+	}
 	r.pass(now)
 	r.cost += cost
 }
--- a/internal/decide/door/door.go
+++ b/internal/decide/door/door.go
@@ -82,15 +82,17 @@
 	shedPart = 1.0 / 8
 	// bookedRoom is the part of the door that is kept for those who come back as advised.
 	bookedRoom = 1.0 / 8
-	// unlaunched jobs that the module may have before the door lets in more, and as a part of those launched: enough
-	// that one it can't place yet does not stop the others, few enough that the order is the door's.
-	unlaunchedLeast = 4
-	unlaunchedPart  = 1.0 / 32
+	// unlaunchedWait of the shortest expected time after a job was let in, and not launched, another may follow it: half
+	// of the time for which the module itself lets a job wait.
+	unlaunchedWait = 1.0 / 16
+	// unlaunchedMost jobs may be let in and not launched.
+	unlaunchedMost = 4
 	// burstSeconds of its rate a tenant may ask at once.
 	burstSeconds = 1
 	// drainMemory is how fast the measured drain follows, in expected times: some, so that one gap says little.
 	drainMemory = 4
-	// hopeless is the share of its time within which a job should be let in: the rest is for the work.
+	// hopeless is the share of its expected time, or of what its client has left, within which a job has to be let
+	// in: the rest is for the work, and an answer that comes later is worth little.
 	hopeless = 0.5
 )
 
@@ -226,10 +228,25 @@
 	return d.tenants[n].waiting, d.tenants[n].running
 }
 
-// Open tells whether another job may be let in, by how many jobs the module has that it has not launched yet, and
-// how many that it has.
-func (d *Door) Open(unlaunched, launched int) bool {
-	return unlaunched < max(unlaunchedLeast, int(unlaunchedPart*float64(launched)))
+// Open tells whether another job may be let in, by how long ago those were that the module has not launched yet. One
+// is enough: the next follows within the same turn once it is launched, and the order stays the door's. Those that
+// wait for long are such as the module can't place, or it is slow; the others need not stand behind them.
+func (d *Door) Open(inside []Nanos) bool {
+	fresh := 0
+	for _, t := range inside {
+		if t <= Nanos(unlaunchedWait*float64(d.expected)) {
+			fresh++
+		}
+	}
+	return fresh == 0 && len(inside) < unlaunchedMost
+}
+
+// Taken tells that the module has launched a job that was let in: this is the pace of what stands behind the door.
+func (d *Door) Taken(now Nanos, j Job) { d.drain.taken(now, Cost(j.Prompt, j.Answer)) }
+
+// lateAt is when it is too late to let a job in.
+func lateAt(now Nanos, j *Job) Nanos {
+	return now + Nanos(hopeless*float64(min(j.Expected, j.Deadline-now)))
 }
 
 // Arrive takes a job to wait, or refuses it with the time to stay away; a Ticket goes with advice if the door gives
@@ -277,7 +294,7 @@
 	if len(d.jobs) >= max(room, 1) {
 		return refuse(Full)
 	}
-	if !booked && d.wait(now, t, d.flowOf(now, t, &j, false), cost) > Nanos(hopeless*float64(j.Deadline-now)) {
+	if !booked && d.wait(now, t, d.flowOf(now, t, &j, false), cost) > lateAt(now, &j)-now {
 		return refuse(TooLate)
 	}
 	if t.Rate > 0 {
@@ -286,7 +303,7 @@
 	f := d.flowOf(now, t, &j, true)
 	w := d.newJob()
 	*w = job{Job: j, cost: cost, came: now, flow: f, due: now + j.Expected, order: d.nextOrder(), in: booked,
-		late: j.Deadline - Nanos(hopeless*float64(j.Deadline-now))}
+		late: lateAt(now, &j)}
 	w.Ticket = nil
 	if d.FirstCome {
 		w.due = now
@@ -338,7 +355,6 @@
 		t.Counts.Kept++
 	}
 	t.running++
-	d.drain.let(now, w.cost)
 	d.remove(now, w)
 }
 
--- a/internal/decide/door/door_test.go
+++ b/internal/decide/door/door_test.go
@@ -232,6 +232,7 @@
 			}
 			j := d.jobs[id].Job
 			*credit -= Cost(j.Prompt, j.Answer)
+			d.Taken(now, j)
 			d.Let(now, id)
 			d.Over(now, j, true, 0)
 			done(id, now-came[id])
@@ -385,6 +386,7 @@
 			refused, after = append(refused, a.Ticket), append(after, a.After)
 		}
 		if id, ok := d.Next(); ok && i%4 == 0 {
+			d.Taken(now, d.jobs[id].Job)
 			d.Let(now, id)
 		}
 		now += 10 * ms
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -56,8 +57,8 @@
 	secret  uint64 // keys the hashes of clients' names
 	expiry  loop.Timer
 	onLate  func(loop.Nanos)
-	inside  int // jobs that the module has and has not launched yet
-	running int // jobs that it has launched
+	ages    []loop.Nanos
+	inside  []unlaunched // jobs that the module has and has not launched, by when they were let in
 	advises int64
 	keeper  links.Keeper
 	life    uint64 // this start of the dispatcher, in what engines are told
@@ -211,7 +212,7 @@
 			d.turnAway(now, policy.JobID(id), door.TooLate)
 			continue
 		}
-		if id, ok := d.queue.Next(); ok && d.queue.Open(d.inside, d.running) {
+		if id, ok := d.queue.Next(); ok && d.open(now) {
 			d.letIn(now, policy.JobID(id))
 			continue
 		}
@@ -231,12 +232,31 @@
 	}
 }
 
+// unlaunched is a job that the module has and has not launched.
+type unlaunched struct {
+	id policy.JobID
+	at loop.Nanos // let in
+}
+
+func (d *Dispatcher) insideAt(id policy.JobID) int {
+	return slices.IndexFunc(d.inside, func(u unlaunched) bool { return u.id == id })
+}
+
+// open tells whether the door lets in another.
+func (d *Dispatcher) open(now loop.Nanos) bool {
+	d.ages = d.ages[:0]
+	for _, u := range d.inside {
+		d.ages = append(d.ages, now-u.at)
+	}
+	return d.queue.Open(d.ages)
+}
+
 // letIn hands a job that waited at the door to the module.
 func (d *Dispatcher) letIn(now loop.Nanos, id policy.JobID) {
 	d.queue.Let(now, door.JobID(id))
 	j := d.jobs.Find(id)
 	j.atDoor, j.let = false, true
-	d.inside++
+	d.inside = append(d.inside, unlaunched{id: id, at: now})
 	d.mod.JobArrived(d.time(now), j.given)
 }
 
@@ -445,10 +465,8 @@
 	if j.let {
 		j.let = false
 		d.queue.Over(d.l.Now(), j.ask, served, j.tokens)
-		if j.Launches() == 0 {
-			d.inside--
-		} else {
-			d.running--
+		if i := d.insideAt(j.ID); i >= 0 {
+			d.inside = slices.Delete(d.inside, i, i+1)
 		}
 	}
 }
@@ -521,9 +539,9 @@
 		return
 	}
 	d.Counts.Launches++
-	if shot == 0 {
-		d.inside--
-		d.running++
+	if i := d.insideAt(j.ID); i >= 0 {
+		d.inside = slices.Delete(d.inside, i, i+1)
+		d.queue.Taken(now, j.ask)
 	}
 	j.host, j.sent, j.within, j.on, j.stream = to, now, within, nil, nil
 	e := d.engines[to]
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -79,19 +80,23 @@
 
 // Run plays a load to its end and gives what became of it, by track.
 func Run(ctx context.Context, l Load, b *book.Book) (map[string]*Sum, error) {
-	var conns [][]pb.GenerationClient
-	for _, t := range l.Targets {
-		var some []pb.GenerationClient
-		for range max(l.Conns, 1) {
-			c, err := grpc.NewClient(t, grpc.WithTransportCredentials(insecure.NewCredentials()),
-				grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 200 * time.Millisecond}))
-			if err != nil {
-				return nil, fmt.Errorf("client of %s: %w", t, err)
+	conns := map[string][][]pb.GenerationClient{}
+	for i := range l.Tracks { // each track's clients come from an address of their own
+		from := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, byte(2+i))}}
+		for _, t := range l.Targets {
+			var some []pb.GenerationClient
+			for range max(l.Conns, 1) {
+				c, err := grpc.NewClient(t, grpc.WithTransportCredentials(insecure.NewCredentials()),
+					grpc.WithContextDialer(func(ctx context.Context, to string) (net.Conn, error) { return from.DialContext(ctx, "tcp", to) }),
+					grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 200 * time.Millisecond}))
+				if err != nil {
+					return nil, fmt.Errorf("client of %s: %w", t, err)
+				}
+				defer c.Close()
+				some = append(some, pb.NewGenerationClient(c))
 			}
-			defer c.Close()
-			some = append(some, pb.NewGenerationClient(c))
+			conns[l.Tracks[i].Name] = append(conns[l.Tracks[i].Name], some)
 		}
-		conns = append(conns, some)
 	}
 	sums := map[string]*Sum{}
 	for _, t := range l.Tracks {
@@ -143,7 +148,7 @@
 type runner struct {
 	l     Load
 	b     *book.Book
-	conns [][]pb.GenerationClient
+	conns map[string][][]pb.GenerationClient // by track, by dispatcher
 	mu    sync.Mutex
 	sums  map[string]*Sum
 	turn  atomic.Int64
@@ -195,7 +200,8 @@
 		r.mu.Unlock()
 	}
 	sum(func(s *Sum) { s.Jobs++; s.Asked += worth })
-	at := rng.IntN(len(r.conns))
+	conns := r.conns[t.Name]
+	at := rng.IntN(len(conns))
 	ticket := ""
 	for try := 0; ; try++ {
 		left := t.Patience + 2*t.Per1k*time.Duration(req.PromptTokens)/1000 - time.Since(begin)
@@ -204,7 +210,7 @@
 			return 0, false
 		}
 		sum(func(s *Sum) { s.Tries++ })
-		target := r.conns[at][int(r.turn.Add(1))%len(r.conns[at])]
+		target := conns[at][int(r.turn.Add(1))%len(conns[at])]
 		res := r.try(ctx, target, t, req, try, left, ticket, rng)
 		if ticket != "" {
 			sum(func(s *Sum) {
@@ -241,7 +247,7 @@
 			again = again && res.lost // the dispatcher asks to stay away
 		}
 		if res.lost {
-			at = (at + 1) % len(r.conns)
+			at = (at + 1) % len(conns)
 			wait = 50 * time.Millisecond
 		}
 		if t.Deaf {
--- a/internal/lab/drill/stage.go
+++ b/internal/lab/drill/stage.go
@@ -14,6 +14,7 @@
 	"time"
 
 	pb "docksail/api/docksail/v1"
+	"docksail/internal/decide/door"
 	"docksail/internal/dispatch"
 	"docksail/internal/lab/book"
 	"docksail/internal/lab/client"
@@ -296,6 +297,7 @@
 	Entries    []book.Entry
 	Counts     dispatch.Counts
 	Launches   int
+	Doors      []door.Counts // by dispatcher, by tenant
 	Took       time.Duration
 }
 
@@ -348,7 +350,16 @@
 	}
 	wg.Wait()
 	time.Sleep(s.Release + 300*time.Millisecond) // what is held has to have gone by then
-	rep := &Report{Sums: sums, Counts: st.Counts(), Entries: st.Book.Entries(), Took: time.Since(begin)}
+	var doors []door.Counts
+	for n := range st.disp {
+		if r := st.Dispatcher(n); r != nil {
+			r.Ask(func(d *dispatch.Dispatcher) {
+				_, _, ts := d.Queue()
+				doors = append(doors, ts...)
+			})
+		}
+	}
+	rep := &Report{Doors: doors, Sums: sums, Counts: st.Counts(), Entries: st.Book.Entries(), Took: time.Since(begin)}
 	rep.Violations = rules.Check(rep.Entries, s.facts())
 	for _, e := range rep.Entries {
 		if e.Kind == book.Sent {
@@ -528,6 +539,12 @@
 	c := r.Counts
 	fmt.Fprintf(w, "dispatchers: %d launches, %d recalled, %d late, %d broken, %d releases, %d reports (%d late), %d refused at the gate, "+
 		"%d guarded\n", c.Launches, c.Recalls, c.Late, c.Broken, c.Releases, c.Reports, c.LateReports, c.Refused, c.Guarded)
+	for i, c := range r.Doors {
+		if c.Came > 0 {
+			fmt.Fprintf(w, "door %d: %d came, %d admitted, %d cancelled, refused %v, mean wait %d ms, longest %d ms, booked %d, returned %d, kept %d, not honoured %d\n",
+				i, c.Came, c.Admitted, c.Cancelled, c.Refused, c.Waited/int64(max(c.Admitted, 1))/1e6, c.Longest/1e6, c.Booked, c.Returned, c.Kept, c.Unbooked)
+		}
+	}
 	back, kept := 0, 0
 	for _, s := range r.Sums {
 		back, kept = back+s.Back, kept+s.BackKept
