--- a/internal/e2e/door_test.go
+++ b/internal/e2e/door_test.go
@@ -69,6 +69,7 @@
 		{"no advice taken", `"clients": 1, "no_advice": true`},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			fair := playScript(t, crowdDay(t, true, c.how), nil)
 			s := crowdDay(t, true, c.how)
 			s.FirstCome = true
@@ -93,6 +94,7 @@
 
 // TestAdviceHolds: of those who come back when they were told to, nearly all are honoured.
 func TestAdviceHolds(t *testing.T) {
+	t.Parallel()
 	s := crowdDay(t, true, `"clients": 200`)
 	s.Waiting = 24
 	for i := range s.Load {
--- a/internal/lab/drill/importday.go
+++ b/internal/lab/drill/importday.go
@@ -308,7 +308,11 @@
 	switch v := v.(type) {
 	case map[string]any:
 		for k, x := range v {
-			v[k] = spell(x, k)
+			if x == nil || x == "" { // as if it were not there
+				delete(v, k)
+			} else {
+				v[k] = spell(x, k)
+			}
 		}
 	case []any:
 		for i, x := range v {
--- /dev/null
+++ b/internal/lab/drill/script_test.go
@@ -0,0 +1,117 @@
+package drill
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%v, %v", files, err)
+	}
+	for _, f := range files {
+		s, err := Load(f)
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		b, err := s.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Parse(f+" written", b)
+		if err != nil {
+			t.Errorf("what Encode wrote: %v", err)
+		} else if !reflect.DeepEqual(s, again) {
+			t.Errorf("%s came back as another script", f)
+		}
+	}
+}
+
+func TestScriptErrors(t *testing.T) {
+	text, err := os.ReadFile("testdata/badday.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{`"kind": "hang"`, `"kind": "hung"`, `troubles[1].kind: "hung", want one of [ageing `},
+		{`"hosts": [11]`, `"hosts": [15]`, `troubles[1].hosts: 15, want 1 to 14`},
+		{`"dispatcher": 1}`, `"dispatcher": 3}`, `dispatcher: 3, want 0 to 2`},
+		{`"role": "mixed"`, `"role": "both"`, `fleet[2].role: "both", want reader, writer or mixed`},
+		{`"for": "46s"`, `"for": 46`, `for: want a text, not 46`},
+	} {
+		if !strings.Contains(string(text), c.from) {
+			t.Fatalf("%s does not stand in the script", c.from)
+		}
+		if _, err := Parse("s", []byte(strings.Replace(string(text), c.from, c.to, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("with %s: %v, want %q", c.to, err, c.want)
+		}
+	}
+}
+
+// benchText is a small two-stage day with a kind of trouble that no drill knows.
+const benchText = `{"length": 20000000, "zones": ["x", "y"], "traffic": {"load": 0.5}, "clients": {"retries": 1}, "discovery": {"notice": 500000},
+ "allow": {"max_attempts": 4}, "fall_multiple": 2, "fall_for": 1000000,
+ "classes": [{"name": "c", "share": 1, "aim": 1000000, "deadline": 4000000, "worth": 2, "effect": "keyed", "group": "zone", "window": 3000000}],
+ "tiers": [{"kinds": [{"name": "r", "slots": 8, "queue": 20, "cold_from": 0.3, "cold": 9000000}, {"name": "w", "slots": 90, "queue": 9, "cold_from": 0.4, "cold": 8000000}]}],
+ "servers": [{"zone": 0, "kind": 0, "cell": 0, "up": true}, {"zone": 0, "kind": 1, "cell": 0, "up": true}, {"zone": 1, "kind": 0, "cell": 1, "up": true},
+  {"zone": 1, "kind": 1, "cell": 1, "up": true}, {"zone": 1, "kind": 1, "cell": 1, "up": true}, {"zone": 1, "kind": 1, "cell": 1, "up": true}],
+ "balancers": [{"zone": 0}, {"zone": 1}, {"zone": 1}, {"zone": 0}],
+ "troubles": [{"kind": "slow", "at": 5000000, "len": 3000000, "size": 4, "on": [3, 4]}, {"kind": "zone_cut", "at": 6000000, "len": 1000000, "which": 1},
+  {"kind": "class_fail", "at": 7000000, "len": 1000000, "on": [0], "which": 0}, {"kind": "locusts", "at": 8000000, "len": 1},
+  {"kind": "balancer_crash", "at": 9000000, "len": 1000000, "on": [3]}, {"kind": "burst", "at": 10000000, "len": 1000000, "size": 2}],
+ "fam": {"release": 800000, "near": 200000, "roles": ["read", "write"],
+  "engines": [{"memory": 200000, "read_per_s": 20000, "step_ms": 20}, {"memory": 100000, "read_per_s": 7000, "step_ms": 10}],
+  "talks": [{"aim_ms_per_k": 60, "max_out": 300, "new_tokens": 400, "out_tokens": 100, "prefix_tokens": 2000, "turns": 2}]}}`
+
+func TestImport(t *testing.T) {
+	s, cannot, err := Import([]byte(benchText), 6, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(cannot) != 1 || !strings.Contains(cannot[0], "locusts") {
+		t.Errorf("cannot be played: %v, want the locusts alone", cannot)
+	}
+	var kinds []string
+	for _, tr := range s.Troubles {
+		kinds = append(kinds, tr.Kind)
+	}
+	if want := []string{"slow", "cut", "deaf", "dispatcher", "burst"}; !reflect.DeepEqual(kinds, want) {
+		t.Errorf("troubles %v, want %v", kinds, want)
+	}
+	if len(s.hosts()) != 6 || len(s.Dispatchers) != 2 || s.Troubles[1].Zone != "y" || s.Troubles[2].Track != "c" || s.Troubles[3].Number != 1 {
+		t.Errorf("%d hosts, %d dispatchers, troubles %+v", len(s.hosts()), len(s.Dispatchers), s.Troubles)
+	}
+	if got := s.Troubles[0].Hosts; len(got) != 2 {
+		t.Errorf("slow hosts %v, want the two writers it was on", got)
+	}
+	b, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Parse("imported", b); err != nil {
+		t.Errorf("the script can't be read: %v", err)
+	}
+	small, _, err := Import([]byte(benchText), 2, 1)
+	if err != nil || len(small.hosts()) != 4 {
+		t.Errorf("scaled down to %d hosts, %v, want one of each kind and cell", len(small.hosts()), err)
+	}
+	for _, bad := range []string{"", "{}", `{"servers": [{}]}`} {
+		if _, _, err := Import([]byte(bad), 6, 2); err == nil {
+			t.Errorf("%q was taken for a day", bad)
+		}
+	}
+}
+
+// TestKnownKinds: what an import names, a script knows.
+func TestKnownKinds(t *testing.T) {
+	for bench, k := range known {
+		if _, ok := kinds[k.kind]; !ok {
+			t.Errorf("%s becomes %q, which no script knows", bench, k.kind)
+		}
+	}
+}
