Connections by address and messages in part are bounded: floods end at the cheapest place

One address could take every connection, and one connection could begin ten thousand messages of four megabytes. internal/decide/crowd takes connections by source once half of the room is gone; internal/h2 draws bytes of messages in part from a budget shared by all connections, an eighth for each.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -178,7 +178,9 @@
 		}
 	}
 	d.onLate = func(loop.Nanos) {} // the round looks
-	d.clients = front.New(l, d, d.lim, s.Limits.Connections, s.Limits.Output)
+	if d.clients, err = front.New(l, d, d.lim, s.Limits.Connections, s.Limits.Output, s.Limits.Partial); err != nil {
+		return nil, err
+	}
 	d.lister.init(d, s.Fleet)
 	return d, nil
 }
@@ -651,7 +653,7 @@
 }
 
 // Door gives what the clients' door counted.
-func (d *Dispatcher) Door() front.Counts { return d.clients.Counts }
+func (d *Dispatcher) Door() front.Counts { return d.clients.Count() }
 
 // Known tells that a list of engines is known.
 func (d *Dispatcher) Known() bool { return d.gate.Known }
--- a/internal/e2e/door_test.go
+++ b/internal/e2e/door_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"runtime"
 	"slices"
 	"strings"
@@ -10,7 +11,9 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 
 	pb "docksail/api/docksail/v1"
@@ -229,3 +232,44 @@
 	}
 	clean(t, st)
 }
+
+// TestFloodOfConnections: one address opens as many connections as it can; another's client is served as before.
+func TestFloodOfConnections(t *testing.T) {
+	st, _ := stage(t, func(s *drill.Script) { s.Connections = 200 })
+	to := st.Targets()[0]
+	from := func(ip byte) *net.Dialer {
+		return &net.Dialer{Timeout: 2 * time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, ip)}}
+	}
+	var conns []net.Conn
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	for range 600 {
+		c, err := from(9).Dial("tcp", to)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, c)
+	}
+	for i := range 8 {
+		conn, err := grpc.NewClient(to, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithContextDialer(func(ctx context.Context, to string) (net.Conn, error) { return from(10).DialContext(ctx, "tcp", to) }))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if _, s, _ := ask(context.Background(), pb.NewGenerationClient(conn), job(fmt.Sprint("beside", i))); s.Code() != codes.OK {
+			t.Errorf("client %d of another address: %v", i, s)
+		}
+	}
+	st.Dispatcher(0).Ask(func(d *dispatch.Dispatcher) {
+		c := d.Door().Connections
+		t.Logf("%+v, %d open", c, d.Clients())
+		if d.Clients() > 200 || c.TooMany == 0 {
+			t.Errorf("%d connections open of 200, %d refused for their address", d.Clients(), c.TooMany)
+		}
+	})
+	clean(t, st)
+}
--- a/internal/front/grpc/grpc.go
+++ b/internal/front/grpc/grpc.go
@@ -20,6 +20,7 @@
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"docksail/internal/decide/crowd"
 	"docksail/internal/h2"
 	"docksail/internal/loop"
 	"docksail/policy"
@@ -62,7 +63,8 @@
 	l       *loop.Loop
 	core    Core
 	lim     h2.Limits
-	most    int // connections
+	crowd   *crowd.Crowd
+	budget  *h2.Budget
 	output  int // bytes queued for one
 	conns   map[*conn]struct{}
 	dirty   []*conn
@@ -74,12 +76,20 @@
 
 // Counts are what the door counted since its start.
 type Counts struct {
-	Accepted, TurnedAway, Calls, Bad, Overflows uint64
+	Calls, Bad, Overflows uint64
+	Connections           crowd.Counts
+	PartialRefused        uint64 // messages refused because too much had come in part
 }
 
-// New makes a door; it opens with Listen.
-func New(l *loop.Loop, core Core, lim h2.Limits, connections, output int) *Server {
-	return &Server{l: l, core: core, lim: lim, most: connections, output: output, conns: make(map[*conn]struct{})}
+// New makes a door; it opens with Listen. partial bounds the bytes of messages that have come in part, over all
+// connections.
+func New(l *loop.Loop, core Core, lim h2.Limits, connections, output, partial int) (*Server, error) {
+	c, err := crowd.New(connections)
+	if err != nil {
+		return nil, err
+	}
+	return &Server{l: l, core: core, lim: lim, crowd: c, budget: &h2.Budget{Most: int64(partial)}, output: output,
+		conns: make(map[*conn]struct{})}, nil
 }
 
 // Listen opens the door.
@@ -92,6 +102,13 @@
 	return ln.Addr(), nil
 }
 
+// Count gives what was counted.
+func (s *Server) Count() Counts {
+	c := s.Counts
+	c.Connections, c.PartialRefused = s.crowd.Counts, s.budget.Refused
+	return c
+}
+
 // Conns counts open connections.
 func (s *Server) Conns() int { return len(s.conns) }
 
@@ -133,13 +150,13 @@
 }
 
 func (s *Server) accept(lc *loop.Conn, from netip.AddrPort) loop.Handler {
-	if len(s.conns) >= s.most {
-		s.Counts.TurnedAway++
+	source := crowd.Cut(from.Addr().As16())
+	if s.crowd.Come(s.l.Now(), source) != crowd.Taken {
 		return nil
 	}
-	s.Counts.Accepted++
-	c := &conn{s: s, lc: lc, from: from.Addr().As16()}
+	c := &conn{s: s, lc: lc, from: source}
 	c.h = h2.NewServer(s.lim, c)
+	c.h.SetBudget(s.budget)
 	lc.Bound(s.output)
 	s.conns[c] = struct{}{}
 	return c
@@ -153,7 +170,7 @@
 	now   loop.Nanos
 	dirty bool
 	heard bool
-	from  [16]byte
+	from  crowd.Source
 	greet loop.Timer
 }
 
@@ -198,6 +215,7 @@
 	c.s.l.Cancel(&c.greet)
 	c.h.Lost()
 	delete(c.s.conns, c)
+	c.s.crowd.Gone(now, c.from)
 }
 
 func (c *conn) flush() {
--- a/internal/h2/frames.go
+++ b/internal/h2/frames.go
@@ -268,6 +268,10 @@
 			want = 5 + int(length(s.part))
 		}
 		take := min(want-had, len(p))
+		if !s.c.hold(int64(take)) {
+			s.refuse(codes.ResourceExhausted, "too many messages have come in part")
+			return false
+		}
 		s.part = append(s.part, p[:take]...)
 		p = p[take:]
 		if len(s.part) >= 5 && length(s.part) > s.c.lim.MessageBytes {
@@ -283,6 +287,8 @@
 		ahead := int64(len(s.part) - take)
 		s.debt -= ahead
 		whole := s.part
+		s.part = nil // its bytes are no longer in part, whatever becomes of the stream in the call
+		s.c.hold(-int64(len(whole)))
 		if !s.deliver(whole, ahead) || !s.used || s.id != id {
 			return false
 		}
--- a/internal/h2/h2.go
+++ b/internal/h2/h2.go
@@ -34,6 +34,17 @@
 var Usual = Limits{Streams: 10000, StreamWindow: 64 << 10, ConnWindow: 4 << 20, HeaderBytes: 16 << 10,
 	MessageBytes: 4 << 20}
 
+// Budget bounds the bytes of messages that have come in part, over all connections that share it. One connection may
+// have an eighth of it. It belongs to the loop that feeds them.
+type Budget struct {
+	Most    int64
+	Refused uint64 // streams ended because it was spent
+	used    int64
+}
+
+// Used is how much of it is in use.
+func (b *Budget) Used() int64 { return b.used }
+
 // App is what a connection belongs to. Slices are valid during the call only.
 type App interface {
 	// Headers: a request has come (server), or the headers of a response (client).
@@ -138,6 +149,8 @@
 	pumping   bool
 	acked     bool // the peer has taken our settings
 	resets    uint64
+	budget    *Budget
+	partial   int64 // bytes of messages that have come in part
 }
 
 const preface = http2.ClientPreface
@@ -184,6 +197,23 @@
 	return len(p), nil
 }
 
+// SetBudget has a connection draw on a budget for messages that have come in part.
+func (c *Conn) SetBudget(b *Budget) { c.budget = b }
+
+// hold counts bytes of a message that has come in part; false if there may be no more.
+func (c *Conn) hold(n int64) bool {
+	if c.budget == nil {
+		return true
+	}
+	if n > 0 && (c.budget.used+n > c.budget.Most || c.partial+n > c.budget.Most/8) {
+		c.budget.Refused++
+		return false
+	}
+	c.partial += n
+	c.budget.used += n
+	return true
+}
+
 // Take gives what is to be written to the socket, and forgets it; the bytes are valid until the next call.
 func (c *Conn) Take() []byte {
 	p := c.out
@@ -439,6 +469,8 @@
 	}
 	s.used = false
 	delete(c.streams, s.id)
+	c.hold(-int64(len(s.part)))
+	s.part = s.part[:0]
 	if !s.waits {
 		c.release(s)
 	}
--- a/internal/h2/h2_test.go
+++ b/internal/h2/h2_test.go
@@ -546,3 +546,39 @@
 		}
 	})
 }
+
+// TestPartialMessagesAreBounded: a peer that begins many large messages and ends none is refused at its part of the
+// budget; another connection on the same budget goes on, and nothing stays in use.
+func TestPartialMessagesAreBounded(t *testing.T) {
+	b := &Budget{Most: 64 << 10}
+	bad, good := newRaw(t), newRaw(t)
+	bad.c.SetBudget(b)
+	good.c.SetBudget(b)
+	for i := range 50 {
+		id := uint32(2*i + 1)
+		bad.headers(id, bad.usual(), false)
+		bad.fr.WriteData(id, false, append([]byte{0, 0, 0, 0xff, 0xff}, make([]byte, 4000)...))
+		if err := bad.feed(1); err != nil {
+			t.Fatal(err)
+		}
+		if b.Used() > b.Most/8 {
+			t.Fatalf("one connection holds %d bytes, want at most an eighth of %d", b.Used(), b.Most)
+		}
+	}
+	if b.Refused == 0 {
+		t.Error("nothing was refused")
+	}
+	good.headers(1, good.usual(), false)
+	good.fr.WriteData(1, false, []byte{0, 0, 0, 0, 2, 'o'})
+	good.fr.WriteData(1, true, []byte{'k'})
+	if err := good.feed(1); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, _, statuses := good.answers(t); statuses[1] != "0" || string(good.app.got[0]) != "ok" {
+		t.Errorf("another connection's message in two parts ended with %q", statuses[1])
+	}
+	bad.c.Lost()
+	if b.Used() != 0 {
+		t.Errorf("%d bytes in use when all connections are gone", b.Used())
+	}
+}
--- a/internal/lab/drill/script.go
+++ b/internal/lab/drill/script.go
@@ -32,6 +32,7 @@
 	Most        int64        `json:"launches"`
 	FirstCome   bool         `json:"first_come"`   // the door keeps no order but that of arrival
 	Waiting     int          `json:"jobs_waiting"` // at the door; 0 = the usual
+	Connections int          `json:"connections"`  // of clients; 0 = the usual
 }
 
 // Dur is a length of time as text.
@@ -229,6 +230,9 @@
 	if s.Waiting > 0 {
 		d.Limits.Waiting = s.Waiting
 	}
+	if s.Connections > 0 {
+		d.Limits.Connections = s.Connections
+	}
 	tenants := map[string]bool{}
 	for _, t := range s.Load {
 		d.Tracks = append(d.Tracks, setup.Track{Name: t.Name, Expected: t.Expected, ExpectedPer1k: t.Per1k,
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -105,8 +105,9 @@
 	Message      int `json:"message_bytes"`
 	Headers      int `json:"header_bytes"`
 	Prompt       int `json:"prompt_tokens"`
-	Output       int `json:"output_bytes"` // queued for one connection
-	Waiting      int `json:"jobs_waiting"` // at the door
+	Output       int `json:"output_bytes"`  // queued for one connection
+	Partial      int `json:"partial_bytes"` // of messages that have come in part, on all connections together
+	Waiting      int `json:"jobs_waiting"`  // at the door
 	Clients      int `json:"clients_known"`
 }
 
@@ -229,7 +230,7 @@
 		low  int
 	}{{"jobs", s.Limits.Jobs, 1}, {"connections", s.Limits.Connections, 1}, {"streams", s.Limits.Streams, 1},
 		{"stream_window", s.Limits.StreamWindow, 1 << 10}, {"message_bytes", s.Limits.Message, 1 << 10},
-		{"header_bytes", s.Limits.Headers, 1 << 10}, {"prompt_tokens", s.Limits.Prompt, 1}, {"jobs_waiting", s.Limits.Waiting, 1}, {"clients_known", s.Limits.Clients, 1},
+		{"header_bytes", s.Limits.Headers, 1 << 10}, {"prompt_tokens", s.Limits.Prompt, 1}, {"jobs_waiting", s.Limits.Waiting, 1}, {"partial_bytes", s.Limits.Partial, s.Limits.Message}, {"clients_known", s.Limits.Clients, 1},
 		{"output_bytes", s.Limits.Output, 64 << 10}} {
 		if l.n < l.low || l.n > 1<<30 {
 			d.bad("limits."+l.name, "is %d, want %d to %d", l.n, l.low, 1<<30)
@@ -293,7 +294,7 @@
 	return &Dispatcher{Count: 1, Launches: Launches{Most: 5, Recall: true, Connect: time.Second},
 		Answers: Answers{Ahead: 20 * time.Millisecond, Round: time.Millisecond, Advice: true, MaxAdvice: time.Minute},
 		Fleet:   Fleet{Retry: 4 * time.Second}, Rules: Rules{Drain: 500 * time.Millisecond}, Drain: 30 * time.Second,
-		Limits: Limits{Waiting: 10000, Clients: 16384, Jobs: 20000, Connections: 20000, Streams: 10000, StreamWindow: 64 << 10, Message: 4 << 20,
+		Limits: Limits{Partial: 256 << 20, Waiting: 10000, Clients: 16384, Jobs: 20000, Connections: 20000, Streams: 10000, StreamWindow: 64 << 10, Message: 4 << 20,
 			Headers: 16 << 10, Prompt: 1 << 20, Output: 4 << 20}}
 }
 
