Terms of tenants change while running, whole or not at all; a live view of the door

Operators have to change weights and limits in the middle of a burst and see what the door does. SIGHUP takes the tenants' terms over, checked before any is applied; serve writes a status file each second and docksail view shows queue, wait, share, refusals and kept advice by tenant. Seen on loopback: 12 jobs at once of a tenant with 5 a second, 7 told when to come back and let in then; wrong terms change nothing.

--- a/cmd/docksail/main.go
+++ b/cmd/docksail/main.go
@@ -1,5 +1,5 @@
-// Command docksail is the dispatcher and what belongs to it: serve runs one, check reads its settings, lab plays
-// with stand-ins.
+// Command docksail is the dispatcher and what belongs to it: serve runs one, check reads its settings, view shows
+// its state, lab plays with stand-ins.
 package main
 
 import (
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), labCommand())
+	root.AddCommand(serveCommand(), checkCommand(), viewCommand(), labCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "docksail:", err)
 		os.Exit(1)
--- a/cmd/docksail/main_test.go
+++ b/cmd/docksail/main_test.go
@@ -53,7 +53,7 @@
 }
 
 // serve starts stand-in engines and the program before them, with a fleet file; it gives a client.
-func serve(t *testing.T) (*exec.Cmd, pb.GenerationClient, *bytes.Buffer) {
+func serve(t *testing.T) (*exec.Cmd, pb.GenerationClient, *bytes.Buffer, string) {
 	t.Helper()
 	dir := t.TempDir()
 	var hosts []string
@@ -81,8 +81,9 @@
 	}
 	write(fleet, `{"hosts": [`+hosts[0]+`]}`)
 	write(settings, fmt.Sprintf(`{"listen": "%s", "fleet": {"file": "%s", "ask_within": "400ms"}, "drain_within": "5s",
+		"status_file": "%s/status", "tenants": [{"name": "ours", "jobs_per_second": 50}],
 		"tracks": [{"name": "question", "expected": "1s", "patience": "5s", "token_gap": "50ms", "effect": "redoable"}],
-		"cold_start": {"from": 1, "warm_after": "1s", "topples_at": 2, "topples_over": "1s"}, "rules": {"release_within": "500ms"}}`, addr, fleet))
+		"cold_start": {"from": 1, "warm_after": "1s", "topples_at": 2, "topples_over": "1s"}, "rules": {"release_within": "500ms"}}`, addr, fleet, dir))
 	cmd := program("serve", settings)
 	var log bytes.Buffer
 	cmd.Stderr = &log
@@ -105,11 +106,11 @@
 			t.Fatalf("no answer in 10 s: %v", err)
 		}
 	}
-	return cmd, client, &log
+	return cmd, client, &log, settings
 }
 
 func answer(c pb.GenerationClient, tokens uint32) (int, error) {
-	s, err := c.Generate(context.Background(), &pb.GenerateRequest{Track: "question", PromptTokens: 100, MaxTokens: tokens})
+	s, err := c.Generate(context.Background(), &pb.GenerateRequest{Track: "question", Tenant: "ours", PromptTokens: 100, MaxTokens: tokens})
 	if err != nil {
 		return 0, err
 	}
@@ -124,7 +125,7 @@
 
 // TestServeAndDrain: a changed fleet file is taken up, a signal drains, and the stream in hand is finished.
 func TestServeAndDrain(t *testing.T) {
-	cmd, client, log := serve(t)
+	cmd, client, log, _ := serve(t)
 	got := make(chan error, 1)
 	go func() {
 		n, err := answer(client, 100)
@@ -148,7 +149,7 @@
 
 // TestSecondSignal ends it at once.
 func TestSecondSignal(t *testing.T) {
-	cmd, client, log := serve(t)
+	cmd, client, log, _ := serve(t)
 	go answer(client, 1000)
 	time.Sleep(300 * time.Millisecond)
 	cmd.Process.Signal(syscall.SIGTERM)
@@ -159,3 +160,45 @@
 		t.Errorf("%v after %v: %s", err, time.Since(begin), log)
 	}
 }
+
+// TestTermsAndView: SIGHUP takes changed limits over, or refuses wrong ones whole; view shows them.
+func TestTermsAndView(t *testing.T) {
+	cmd, client, _, settings := serve(t)
+	text, err := os.ReadFile(settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	change := func(terms string) {
+		if err := os.WriteFile(settings, bytes.Replace(text, []byte(`"jobs_per_second": 50`), []byte(terms), 1), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Process.Signal(syscall.SIGHUP)
+	}
+	until := func(what, want string) {
+		t.Helper()
+		var out []byte
+		for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+			out, _ = program("view", filepath.Join(filepath.Dir(settings), "status")).CombinedOutput()
+			if strings.Contains(strings.Join(strings.Fields(string(out)), " "), want) {
+				return
+			}
+		}
+		t.Errorf("%s: view shows %s, want %q", what, out, want)
+	}
+	until("at the start", "ours 50 0 0")
+	change(`"jobs_per_second": 50, "weight": 7, "prompt_tokens": 10`)
+	until("after the change", "ours 7 0 0")
+	if _, err := answer(client, 1); err == nil {
+		t.Error("a prompt over the new limit was taken")
+	}
+	until("after a refusal", "refused ours: 1, prompt longer")
+	change(`"jobs_per_second": 50, "weight": -1`)
+	time.Sleep(1500 * time.Millisecond)
+	until("after wrong terms", "ours 7 0 0")
+	if err := os.WriteFile(filepath.Join(filepath.Dir(settings), "other"), []byte(`{"format": 9}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := program("view", filepath.Join(filepath.Dir(settings), "other")).CombinedOutput(); err == nil || !bytes.Contains(out, []byte("format 9, want 1")) {
+		t.Errorf("another format: %v, %s", err, out)
+	}
+}
--- a/cmd/docksail/serve.go
+++ b/cmd/docksail/serve.go
@@ -1,17 +1,21 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"docksail/internal/decide/door"
 	"docksail/internal/dispatch"
 	"docksail/internal/setup"
 )
@@ -23,7 +27,8 @@
 		Use:   "serve FILE",
 		Short: "Run a dispatcher by its settings",
 		Long: "Run a dispatcher by its settings. SIGTERM and SIGINT drain it: jobs in hand are finished within the\n" +
-			"settings' drain_within, then it exits. A second signal ends it at once.",
+			"settings' drain_within, then it exits. A second signal ends it at once. SIGHUP reads the file again and takes over\n" +
+			"the weights and limits of tenants; all else stays.",
 		Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
 			s, err := setup.Load(args[0])
@@ -41,17 +46,38 @@
 			log.Info("serving", "at", r.Addr, "zone", s.Zone, "number", s.Number, "of", s.Count)
 			signals := make(chan os.Signal, 2)
 			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+			reload := make(chan os.Signal, 1)
+			signal.Notify(reload, syscall.SIGHUP)
+			var status <-chan time.Time
+			if s.Status != "" {
+				t := time.NewTicker(time.Second)
+				defer t.Stop()
+				status = t.C
+			}
 			tick := time.NewTicker(every)
 			defer tick.Stop()
 			asked := false
 			for {
 				select {
 				case <-tick.C:
-					r.Ask(func(d *dispatch.Dispatcher) {
-						waiting, flows, tenants := d.Queue()
-						log.Info("counts", "door_waiting", waiting, "door_flows", flows, "door_tenants", tenants, "in_hand", d.InHand(), "clients", d.Clients(), "counts", d.Counts,
-							"door", d.Door(), "log_lost", beside.Lost())
-					})
+					r.Ask(func(d *dispatch.Dispatcher) { log.Info("counts", "view", d.View(), "log_lost", beside.Lost()) })
+				case <-status:
+					var v dispatch.View
+					if r.Ask(func(d *dispatch.Dispatcher) { v = d.View() }) {
+						if err := writeStatus(s.Status, v); err != nil {
+							log.Warn("status not written", "err", err)
+						}
+					}
+				case <-reload:
+					changed, err := setup.Load(args[0])
+					if err == nil && !r.Ask(func(d *dispatch.Dispatcher) { err = d.Terms(changed) }) {
+						err = fmt.Errorf("the dispatcher has ended")
+					}
+					if err != nil {
+						log.Error("terms of tenants stay as they were", "err", err)
+					} else {
+						log.Info("terms of tenants changed")
+					}
 				case <-signals:
 					if asked {
 						r.Kill()
@@ -73,6 +99,95 @@
 	return c
 }
 
+// status is a view as the status file holds it.
+type status struct {
+	Format int       `json:"format"`
+	At     time.Time `json:"at"`
+	View   dispatch.View
+}
+
+const statusFormat = 1
+
+func writeStatus(name string, v dispatch.View) error {
+	b, err := json.Marshal(status{statusFormat, time.Now(), v})
+	if err != nil {
+		return err
+	}
+	next := name + ".next"
+	if err := os.WriteFile(next, b, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, name)
+}
+
+func viewCommand() *cobra.Command {
+	var every time.Duration
+	c := &cobra.Command{
+		Use:   "view STATUS-FILE",
+		Short: "Show a dispatcher's door and counts, once or again and again",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			for {
+				text, err := os.ReadFile(args[0])
+				if err != nil {
+					return err
+				}
+				var s status
+				if err := json.Unmarshal(text, &s); err != nil {
+					return fmt.Errorf("%s: %w", args[0], err)
+				}
+				if s.Format != statusFormat {
+					return fmt.Errorf("%s: format %d, want %d", args[0], s.Format, statusFormat)
+				}
+				printView(c.OutOrStdout(), s)
+				if every == 0 {
+					return nil
+				}
+				select {
+				case <-time.After(every):
+				case <-c.Context().Done():
+					return nil
+				}
+			}
+		},
+	}
+	c.Flags().DurationVar(&every, "every", 0, "show it again so often")
+	return c
+}
+
+func printView(out io.Writer, s status) {
+	v := s.View
+	age := time.Since(s.At).Round(time.Second)
+	old := ""
+	if age > 5*time.Second {
+		old = "  (" + age.String() + " old: the dispatcher may have ended)"
+	}
+	fmt.Fprintf(out, "%s%s\n%d jobs in hand, %d waiting in %d flows, %d connections\n", s.At.Format(time.TimeOnly), old, v.InHand, v.Waiting, v.Flows, v.Clients)
+	total := 0.0
+	for _, t := range v.Tenants {
+		total += t.Counts.Cost
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "tenant\tweight\twaiting\trunning\tcame\tlet in\tshare\tmean wait\tlongest\tbooked\tback\tkept\t")
+	for _, t := range v.Tenants {
+		n := t.Counts
+		mean := time.Duration(n.Waited / int64(max(n.Admitted, 1)))
+		fmt.Fprintf(w, "%s\t%g\t%d\t%d\t%d\t%d\t%.1f%%\t%v\t%v\t%d\t%d\t%d\t\n", cmp.Or(t.Name, "(all)"), t.Weight, t.Waiting, t.Running, n.Came, n.Admitted,
+			100*n.Cost/max(total, 1), mean.Round(time.Millisecond), time.Duration(n.Longest).Round(time.Millisecond), n.Booked, n.Returned, n.Kept)
+	}
+	w.Flush()
+	for _, t := range v.Tenants {
+		for cause, n := range t.Counts.Refused {
+			if n > 0 {
+				fmt.Fprintf(out, "refused %s: %d, %v\n", cmp.Or(t.Name, "(all)"), n, door.Cause(cause))
+			}
+		}
+	}
+	k := v.Counts
+	fmt.Fprintf(out, "%d honoured, %d nacked, %d abandoned, %d left; %d launches, %d late, %d broken\n", k.Honoured, k.Nacked, k.Abandoned, k.Left,
+		k.Launches, k.Late, k.Broken)
+}
+
 func checkCommand() *cobra.Command {
 	return &cobra.Command{
 		Use:   "check FILE",
--- a/internal/decide/door/door.go
+++ b/internal/decide/door/door.go
@@ -195,14 +195,22 @@
 	return d, nil
 }
 
+// Check says what is wrong with a tenant's terms.
+func (t Tenant) Check() error {
+	if !(t.Weight > 0) || t.Rate < 0 || t.Waiting < 0 || t.Running < 0 || t.PromptMax < 0 {
+		return fmt.Errorf("weight %v, rate %v, waiting %d, running %d, prompt %d: want a weight above 0 and no limit below 0",
+			t.Weight, t.Rate, t.Waiting, t.Running, t.PromptMax)
+	}
+	return nil
+}
+
 // SetTenant adds tenant n, or changes what it may do; it holds for jobs that wait too.
 func (d *Door) SetTenant(n int, t Tenant) error {
 	if n < 0 || n > len(d.tenants) {
 		return fmt.Errorf("tenant %d: want 0 to %d", n, len(d.tenants))
 	}
-	if !(t.Weight > 0) || t.Rate < 0 || t.Waiting < 0 || t.Running < 0 || t.PromptMax < 0 {
-		return fmt.Errorf("tenant %d: weight %v, rate %v, waiting %d, running %d, prompt %d: want a weight above 0 and no limit below 0",
-			n, t.Weight, t.Rate, t.Waiting, t.Running, t.PromptMax)
+	if err := t.Check(); err != nil {
+		return fmt.Errorf("tenant %d: %w", n, err)
 	}
 	if n == len(d.tenants) {
 		d.tenants = append(d.tenants, &tenant{n: n, flows: make(map[flowKey]*flow), at: -1, start: d.virtual,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -54,6 +54,8 @@
 	gate    gate.Gate
 	queue   *door.Door
 	signer  *door.Signer
+	terms   []door.Tenant // what tenants may do at the door
+	names   []string
 	secret  uint64 // keys the hashes of clients' names
 	expiry  loop.Timer
 	onLate  func(loop.Nanos)
@@ -172,11 +174,18 @@
 		return nil, err
 	}
 	d.queue.FirstCome = s.FirstCome
-	for i, t := range s.Door() {
+	d.terms, d.names = s.Door(), []string{""}
+	for i, t := range d.terms {
 		if err := d.queue.SetTenant(i, t); err != nil {
 			return nil, err
 		}
 	}
+	if len(s.Tenants) > 0 {
+		d.names = nil
+		for _, t := range s.Tenants {
+			d.names = append(d.names, t.Name)
+		}
+	}
 	d.onLate = func(loop.Nanos) {} // the round looks
 	if d.clients, err = front.New(l, d, d.lim, s.Limits.Connections, s.Limits.Output, s.Limits.Partial); err != nil {
 		return nil, err
@@ -671,11 +680,55 @@
 	}
 }
 
-// Queue gives the door's view: jobs waiting, flows remembered, and what was counted of each tenant, in the settings'
-// order.
-func (d *Dispatcher) Queue() (waiting, flows int, tenants []door.Counts) {
-	for i := range max(len(d.tenants), 1) {
-		tenants = append(tenants, d.queue.Counts(i))
+// TenantView is how a tenant does at the door.
+type TenantView struct {
+	Name             string
+	Weight           float64
+	Waiting, Running int
+	Counts           door.Counts
+}
+
+// View is a dispatcher's state as people see it.
+type View struct {
+	InHand, Clients, Waiting, Flows int
+	Counts                          Counts
+	Door                            front.Counts
+	Tenants                         []TenantView // in the settings' order; one without a name where they name none
+}
+
+// View gives the state of now.
+func (d *Dispatcher) View() View {
+	v := View{InHand: d.jobs.Len(), Clients: d.clients.Conns(), Waiting: d.queue.Waiting(), Flows: d.queue.Flows(), Counts: d.Counts,
+		Door: d.clients.Count()}
+	for i, t := range d.terms {
+		w, r := d.queue.Tenant(i)
+		v.Tenants = append(v.Tenants, TenantView{Name: d.names[i], Weight: t.Weight, Waiting: w, Running: r, Counts: d.queue.Counts(i)})
+	}
+	return v
+}
+
+// Terms changes what tenants may do at the door, for jobs that wait too: all of them or, with an error, none. The
+// tenants must be those of the start.
+func (d *Dispatcher) Terms(s *setup.Dispatcher) error {
+	if len(s.Tenants) != len(d.tenants) {
+		return fmt.Errorf("%d tenants, want the %d of the start", len(s.Tenants), len(d.tenants))
+	}
+	for i, t := range s.Tenants {
+		if n, ok := d.tenants[t.Name]; !ok || int(n) != i {
+			return fmt.Errorf("tenant %q is new or in another place, want the tenants of the start", t.Name)
+		}
+	}
+	terms := s.Door()
+	for _, t := range terms {
+		if err := t.Check(); err != nil {
+			return err
+		}
+	}
+	for i, t := range terms {
+		if err := d.queue.SetTenant(i, t); err != nil {
+			return err
+		}
 	}
-	return d.queue.Waiting(), d.queue.Flows(), tenants
+	d.terms = terms
+	return nil
 }
--- a/internal/e2e/door_test.go
+++ b/internal/e2e/door_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"runtime"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -161,11 +162,11 @@
 		runtime.ReadMemStats(&m)
 		heap = m.HeapAlloc
 		st.Dispatcher(0).Ask(func(d *dispatch.Dispatcher) {
-			w, f, _ := d.Queue()
-			if w != 0 || d.InHand() != 0 {
-				t.Errorf("%d wait and %d are in hand when all are answered", w, d.InHand())
+			v := d.View()
+			if v.Waiting != 0 || v.InHand != 0 {
+				t.Errorf("%d wait and %d are in hand when all are answered", v.Waiting, v.InHand)
 			}
-			flows = f
+			flows = v.Flows
 		})
 	}
 	crowd("a")
@@ -273,3 +274,74 @@
 	})
 	clean(t, st)
 }
+
+// TestTenantsLimits: who asks faster than it may is told so, with the time at which it may; changed terms hold at once,
+// and terms that are wrong change nothing.
+func TestTenantsLimits(t *testing.T) {
+	st, client := stage(t, func(s *drill.Script) {
+		s.Load[0].Tenant, s.Load[0].Rate, s.Load[0].Weight = "quick", 5, 1
+		s.Load[1].Tenant, s.Load[1].Weight = "other", 1
+	})
+	crowd := func(name string, n int) (ok, own int, longest time.Duration) {
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		for i := range n {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				req := job(fmt.Sprint(name, i))
+				req.Tenant, req.PromptTokens = "quick", 50
+				_, s, md := ask(context.Background(), client, req)
+				mu.Lock()
+				defer mu.Unlock()
+				switch s.Code() {
+				case codes.OK:
+					ok++
+				case codes.ResourceExhausted:
+					own++
+					push, err := strconv.Atoi(strings.Join(md.Get("grpc-retry-pushback-ms"), ""))
+					if err != nil || push <= 0 || len(s.Details()) != 1 || len(md.Get("docksail-ticket-bin")) > 1 {
+						t.Errorf("refused with pushback %q and details %v", md.Get("grpc-retry-pushback-ms"), s.Details())
+					}
+					longest = max(longest, time.Duration(push)*time.Millisecond)
+				default:
+					t.Errorf("%s: %v", req.Label, s)
+				}
+			}()
+		}
+		wg.Wait()
+		return
+	}
+	ok, own, longest := crowd("first", 12)
+	if ok < 5 || ok > 7 || ok+own != 12 {
+		t.Errorf("%d served and %d over the rate, want about the 5 of one second", ok, own)
+	}
+	time.Sleep(min(longest, 5*time.Second))
+	if ok, _, _ := crowd("back", 1); ok != 1 {
+		t.Error("back at the advised time it was refused")
+	}
+	terms := st.Settings(0)
+	terms.Tenants[0].Rate = 0
+	apply := func() (err error) {
+		st.Dispatcher(0).Ask(func(d *dispatch.Dispatcher) { err = d.Terms(terms) })
+		return err
+	}
+	if err := apply(); err != nil {
+		t.Fatal(err)
+	}
+	if ok, own, _ := crowd("free", 12); ok != 12 {
+		t.Errorf("with the limit gone %d served, %d over the rate", ok, own)
+	}
+	terms.Tenants[0].Rate, terms.Tenants[1].Weight = 1, -1
+	if err := apply(); err == nil {
+		t.Error("a weight below 0 was taken")
+	}
+	if ok, _, _ := crowd("still", 12); ok != 12 {
+		t.Error("half of wrong terms was taken")
+	}
+	terms.Tenants[1].Name = "stranger"
+	if err := apply(); err == nil {
+		t.Error("another tenant was taken")
+	}
+	clean(t, st)
+}
--- a/internal/lab/drill/script.go
+++ b/internal/lab/drill/script.go
@@ -88,10 +88,11 @@
 	Retries    int          `json:"retries"`
 	Leave      float64      `json:"leave"`
 	Idle       Dur          `json:"idle"`
-	Clients    int          `json:"clients"`   // that name themselves
-	Deaf       bool         `json:"no_advice"` // come back at once whatever they are told
-	Made       bool         `json:"made_up"`   // a new name for each job
-	Weight     float64      `json:"weight"`    // of its tenant
+	Clients    int          `json:"clients"`         // that name themselves
+	Deaf       bool         `json:"no_advice"`       // come back at once whatever they are told
+	Made       bool         `json:"made_up"`         // a new name for each job
+	Weight     float64      `json:"weight"`          // of its tenant
+	Rate       float64      `json:"most_per_second"` // of its tenant
 }
 
 // Trouble is one thing that goes wrong.
@@ -239,7 +240,7 @@
 			Patience: t.Patience, Payoff: t.Payoff, TokenGap: t.TokenGap, Effect: t.Effect, Group: t.Group, Window: t.Window})
 		if t.Tenant != "" && !tenants[t.Tenant] {
 			tenants[t.Tenant] = true
-			d.Tenants = append(d.Tenants, setup.Tenant{Name: t.Tenant, PerSecond: s.Rate, Weight: t.Weight})
+			d.Tenants = append(d.Tenants, setup.Tenant{Name: t.Tenant, PerSecond: s.Rate, Weight: t.Weight, Rate: t.Rate})
 		}
 	}
 	return d
--- a/internal/lab/drill/stage.go
+++ b/internal/lab/drill/stage.go
@@ -158,6 +158,13 @@
 	st.list(host-1, true, st.since(st.Engines[host-1]))
 }
 
+// Settings gives a copy of what dispatcher n was told.
+func (st *Stage) Settings(n int) *setup.Dispatcher {
+	s := *st.sets[n]
+	s.Tenants = slices.Clone(s.Tenants)
+	return &s
+}
+
 // Relays are those of dispatcher n, by host.
 func (st *Stage) Relays(n int) []*relay.Relay { return st.relays[n] }
 
@@ -354,8 +361,9 @@
 	for n := range st.disp {
 		if r := st.Dispatcher(n); r != nil {
 			r.Ask(func(d *dispatch.Dispatcher) {
-				_, _, ts := d.Queue()
-				doors = append(doors, ts...)
+				for _, t := range d.View().Tenants {
+					doors = append(doors, t.Counts)
+				}
 			})
 		}
 	}
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -29,6 +29,7 @@
 	Answers   Answers        `json:"answers"`
 	Rules     Rules          `json:"rules" need:"the times of the rules"`
 	Limits    Limits         `json:"limits"`
+	Status    string         `json:"status_file"`  // written every second, for docksail view
 	FirstCome bool           `json:"first_come"`   // the door lets jobs in as they came: a baseline to measure against
 	Drain     time.Duration  `json:"drain_within"` // jobs in hand have so long after the signal to leave
 }
