Bookings can't be hoarded, memory sheds at the door; one heap serves queues and timers

A client that asked a thousand times held a thousand bookings, and only loop lag shed. Seen: after a thousand bookings of one client another's place is within two slots of the first; a dispatcher whose loop lags 100 ms a job, or is over its memory, sheds and answers all.

--- a/internal/decide/door/door.go
+++ b/internal/decide/door/door.go
@@ -9,8 +9,9 @@
 package door
 
 import (
-	"container/heap"
 	"fmt"
+
+	"docksail/internal/order"
 )
 
 // Nanos is a time or a span in nanoseconds.
@@ -103,15 +104,15 @@
 
 type job struct {
 	Job
-	cost  float64
-	came  Nanos
-	flow  *flow
-	due   Nanos // what orders it within its flow
-	late  Nanos // from then on it is too late to let it in
-	order uint64
-	at    int  // place in the flow's heap, from 0
-	lateI int  // place among all by late
-	in    bool // it came back as advised
+	cost   float64
+	came   Nanos
+	flow   *flow
+	due    Nanos // what orders it within its flow
+	late   Nanos // from then on it is too late to let it in
+	order  uint64
+	at     int  // place in the flow's heap
+	lateAt int  // place among all by late
+	in     bool // it came back as advised
 }
 
 // flow is the waiting jobs of one client, or of the newcomers from one source.
@@ -119,10 +120,10 @@
 	key    flowKey
 	tenant *tenant
 	weight float64
-	jobs   jobHeap
+	jobs   order.Heap[*job]
 	start  float64 // start tag of its next job
 	order  uint64
-	at     int // place in the tenant's heap; -1 = not there
+	at     int // place in the tenant's heap
 	last   Nanos
 }
 
@@ -135,10 +136,10 @@
 	Tenant
 	n       int
 	flows   map[flowKey]*flow
-	active  flowHeap
+	active  order.Heap[*flow]
 	virtual float64 // virtual time of its flows
 	start   float64 // start tag of its next job among tenants
-	at      int     // place in the door's heap; -1 = not there
+	at      int     // place in the door's heap
 	waiting int
 	running int
 	tokens  float64 // of its rate
@@ -166,10 +167,10 @@
 	most     int
 	mostFlow int
 	tenants  []*tenant
-	active   tenantHeap
+	active   order.Heap[*tenant]
 	virtual  float64
 	jobs     map[JobID]*job
-	late     lateHeap
+	late     order.Heap[*job]
 	free     []*job
 	freeFlow []*flow
 	flows    int
@@ -188,7 +189,8 @@
 	if most < 1 || clients < 1 || expected < 1 {
 		return nil, fmt.Errorf("door for %d jobs, %d clients, expected time %d: want all above 0", most, clients, expected)
 	}
-	d := &Door{most: most, mostFlow: most + 1024, jobs: make(map[JobID]*job), expected: expected}
+	d := &Door{most: most, mostFlow: most + 1024, jobs: make(map[JobID]*job), expected: expected,
+		active: tenantHeap(), late: lateHeap()}
 	d.known.init(clients)
 	d.drain.memory = drainMemory * expected
 	d.book.init(tickets, expected)
@@ -213,7 +215,7 @@
 		return fmt.Errorf("tenant %d: %w", n, err)
 	}
 	if n == len(d.tenants) {
-		d.tenants = append(d.tenants, &tenant{n: n, flows: make(map[flowKey]*flow), at: -1, start: d.virtual,
+		d.tenants = append(d.tenants, &tenant{n: n, flows: make(map[flowKey]*flow), active: flowHeap(), start: d.virtual,
 			tokens: burstSeconds * t.Rate})
 	}
 	tn := d.tenants[n]
@@ -320,16 +322,16 @@
 	}
 	d.drain.begin(now, d.total > 0)
 	d.jobs[j.ID] = w
-	heap.Push(&d.late, w)
+	d.late.Put(w)
 	d.total += cost
 	t.waiting++
-	if len(f.jobs) == 0 {
+	if f.jobs.Len() == 0 {
 		f.start = max(f.start, t.virtual)
 		if t.waiting == 1 {
 			t.start = max(t.start, d.virtual)
 		}
 	}
-	heap.Push(&f.jobs, w)
+	f.jobs.Put(w)
 	d.placeFlow(f)
 	d.place(t)
 	return Admitted, Advice{}
@@ -337,10 +339,10 @@
 
 // Next gives the next job to let in, if there is one. It changes nothing: Let does.
 func (d *Door) Next() (JobID, bool) {
-	if len(d.active) == 0 {
+	if d.active.Len() == 0 {
 		return 0, false
 	}
-	return d.active[0].active[0].jobs[0].ID, true
+	return d.active.Min().active.Min().jobs.Min().ID, true
 }
 
 // Let takes the job that Next gave out of the queue: it has been let in.
@@ -400,18 +402,18 @@
 
 // Expired gives a waiting job for which it has become too late: the host refuses it, after Refuse has said how.
 func (d *Door) Expired(now Nanos) (JobID, bool) {
-	if len(d.late) == 0 || now < d.late[0].late {
+	if d.late.Len() == 0 || now < d.late.Min().late {
 		return 0, false
 	}
-	return d.late[0].ID, true
+	return d.late.Min().ID, true
 }
 
 // NextExpiry is when Expired has something to give at the earliest; false if nothing waits.
 func (d *Door) NextExpiry() (Nanos, bool) {
-	if len(d.late) == 0 {
+	if d.late.Len() == 0 {
 		return 0, false
 	}
-	return d.late[0].late, true
+	return d.late.Min().late, true
 }
 
 // Refuse takes a waiting job out and says how its client is to be answered.
@@ -445,11 +447,12 @@
 
 // ToShed is how many waiting jobs the host should refuse, the heaviest flow's first, after a turn of its loop worked
 // for so long: a loop that lags makes every job late, so what waits goes before what runs suffers.
-func (d *Door) ToShed(worked Nanos) int {
-	if worked < Nanos(shedLag*float64(d.expected)) {
+// The same holds while more memory is in use than there should be; most is 0 where that is not bounded.
+func (d *Door) ToShed(worked Nanos, memory, most uint64) int {
+	if worked < Nanos(shedLag*float64(d.expected)) && (most == 0 || memory <= most) || len(d.jobs) == 0 {
 		return 0
 	}
-	return int(shedPart * float64(len(d.jobs)))
+	return max(1, int(shedPart*float64(len(d.jobs))))
 }
 
 // Heaviest gives the newest job of the flow that has most waiting for its weight, to be shed first.
@@ -457,8 +460,8 @@
 	var worst *flow
 	most := 0.0
 	for _, t := range d.tenants {
-		for _, f := range t.active {
-			if by := float64(len(f.jobs)) / (f.weight * t.Weight); by > most {
+		for _, f := range t.active.All() {
+			if by := float64(f.jobs.Len()) / (f.weight * t.Weight); by > most {
 				worst, most = f, by
 			}
 		}
@@ -466,8 +469,8 @@
 	if worst == nil {
 		return 0, false
 	}
-	newest := worst.jobs[0]
-	for _, w := range worst.jobs {
+	newest := worst.jobs.Min()
+	for _, w := range worst.jobs.All() {
 		if w.order > newest.order {
 			newest = w
 		}
@@ -478,8 +481,8 @@
 // remove takes a job out of its flow.
 func (d *Door) remove(now Nanos, w *job) {
 	f, t := w.flow, w.flow.tenant
-	heap.Remove(&f.jobs, w.at)
-	heap.Remove(&d.late, w.lateI)
+	f.jobs.Take(w)
+	d.late.Take(w)
 	f.last = now
 	t.waiting--
 	d.total = max(d.total-w.cost, 0)
@@ -491,7 +494,7 @@
 	d.free = append(d.free, w)
 	d.placeFlow(f)
 	d.place(t)
-	if len(f.jobs) == 0 && f.start <= t.virtual {
+	if f.jobs.Len() == 0 && f.start <= t.virtual {
 		d.forget(f)
 	}
 }
@@ -532,9 +535,9 @@
 	if n := len(d.freeFlow); n > 0 {
 		f, d.freeFlow = d.freeFlow[n-1], d.freeFlow[:n-1]
 	} else {
-		f = new(flow)
+		f = &flow{jobs: jobHeap()}
 	}
-	*f = flow{key: key, tenant: t, weight: weight, jobs: f.jobs[:0], start: t.virtual, order: d.nextOrder(), at: -1, last: now}
+	*f = flow{key: key, tenant: t, weight: weight, jobs: f.jobs, start: t.virtual, order: d.nextOrder(), last: now}
 	t.flows[key] = f
 	d.flows++
 	return f
@@ -549,7 +552,7 @@
 	d.sweepAt = d.orders + uint64(d.flows/16)
 	for _, t := range d.tenants {
 		for _, f := range t.flows { // which go does not depend on the order
-			if len(f.jobs) == 0 && f.start <= t.virtual {
+			if f.jobs.Len() == 0 && f.start <= t.virtual {
 				d.forget(f)
 			}
 		}
--- a/internal/decide/door/door_test.go
+++ b/internal/decide/door/door_test.go
@@ -164,8 +164,8 @@
 					rt.Fatal(err)
 				}
 			}
-			if d.Waiting() != len(waiting) || len(d.late) != len(waiting) {
-				rt.Fatalf("%d wait, %d by their time, want %d", d.Waiting(), len(d.late), len(waiting))
+			if d.Waiting() != len(waiting) || d.late.Len() != len(waiting) {
+				rt.Fatalf("%d wait, %d by their time, want %d", d.Waiting(), d.late.Len(), len(waiting))
 			}
 			sum := 0
 			for i := range 3 {
@@ -541,6 +541,124 @@
 	}
 }
 
+// TestQuickTracksFirst: within a client the job goes first whose expected time is up first.
+func TestQuickTracksFirst(t *testing.T) {
+	d := newDoor(t, 100, Tenant{Weight: 1})
+	meet(d, 1, 0, 5)
+	slow, quick := ask(0, 5, 100), ask(0, 5, 100)
+	slow.Expected, quick.Expected = 10*sec, sec
+	d.Arrive(1, slow)
+	d.Arrive(2, quick)
+	if id, _ := d.Next(); id != quick.ID {
+		t.Error("the draft goes before the question that came after it")
+	}
+}
+
+// TestHoarding: a client that asks a thousand times for a place leaves others places in each slot.
+func TestHoarding(t *testing.T) {
+	d := newDoor(t, 64, Tenant{Weight: 1})
+	meet(d, 1, 0, 5, 6)
+	now := sec
+	for range 2000 { // a pace is known, and the door is full
+		d.Arrive(now, ask(0, 7, 100))
+		if id, ok := d.Next(); ok && d.Waiting() > 50 {
+			d.Taken(now, d.jobs[id].Job)
+			d.Let(now, id)
+		}
+		now += ms
+	}
+	var first Nanos
+	hoarded := 0
+	for range 1000 {
+		if c, a := d.Arrive(now, ask(0, 5, 100)); c != Admitted && a.Ticket != nil {
+			hoarded++
+			if first == 0 {
+				first = a.After
+			}
+		}
+	}
+	if hoarded < 20 {
+		t.Fatalf("%d booked", hoarded)
+	}
+	c, a := d.Arrive(now, ask(0, 6, 100))
+	if c == Admitted || a.Ticket == nil {
+		t.Fatalf("%v, %+v: want a booking", c, a)
+	}
+	if a.After > first+2*d.book.len {
+		t.Errorf("after %d bookings of another client one has to wait %d ms, the first of those %d ms", hoarded, a.After/ms, first/ms)
+	}
+}
+
+// TestAllAtOnce: the refused come back together, too early for their tickets: they are refused as any others, what
+// waits stays bounded, and a small known client goes in at once.
+func TestAllAtOnce(t *testing.T) {
+	d := newDoor(t, 64, Tenant{Weight: 1})
+	meet(d, 1, 0, 6)
+	now := sec
+	var backs []Job
+	for i := range 2000 {
+		j := ask(0, 7, 100)
+		if c, a := d.Arrive(now, j); c != Admitted && a.Ticket != nil && a.Ticket.Slot > (now+4*sec)/d.book.len {
+			j.Ticket = a.Ticket
+			backs = append(backs, j)
+		}
+		if id, ok := d.Next(); ok && i%2 == 0 {
+			d.Taken(now, d.jobs[id].Job)
+			d.Let(now, id)
+		}
+		now += ms
+	}
+	if len(backs) < 50 {
+		t.Fatalf("%d to come back", len(backs))
+	}
+	before := d.Counts(0)
+	for _, j := range backs {
+		orders++
+		j.ID = orders
+		d.Arrive(now, j)
+	}
+	after := d.Counts(0)
+	if after.Returned != before.Returned || d.Waiting() > 64 {
+		t.Errorf("%d tickets held before their time, %d wait", after.Returned-before.Returned, d.Waiting())
+	}
+	d.Let(now, func() JobID { id, _ := d.Next(); return id }())
+	small := ask(0, 6, 100)
+	if c, _ := d.Arrive(now, small); c != Admitted {
+		t.Fatalf("a small client is refused: %v", c)
+	}
+	d.Let(now, func() JobID { id, _ := d.Next(); return id }())
+	if id, _ := d.Next(); id != small.ID {
+		if _, waits := d.jobs[small.ID]; waits {
+			t.Error("the small client is not among the next two")
+		}
+	}
+}
+
+// TestToShed: an overloaded dispatcher sheds an eighth of what waits, from the heaviest flow.
+func TestToShed(t *testing.T) {
+	d := newDoor(t, 1000, Tenant{Weight: 1}, Tenant{Weight: 1})
+	for range 80 {
+		d.Arrive(1, ask(0, 0, 100))
+	}
+	d.Arrive(1, ask(1, 0, 100))
+	for _, c := range []struct {
+		worked       Nanos
+		memory, most uint64
+		want         int
+	}{{10 * ms, 0, 0, 0}, {200 * ms, 0, 0, 10}, {0, 100, 0, 0}, {0, 100, 100, 0}, {0, 101, 100, 10}} {
+		if got := d.ToShed(c.worked, c.memory, c.most); got != c.want {
+			t.Errorf("after %d ms with %d of %d bytes: %d to shed, want %d", c.worked/ms, c.memory, c.most, got, c.want)
+		}
+	}
+	for range 79 {
+		id, _ := d.Heaviest()
+		if d.jobs[id].Tenant != 0 {
+			t.Fatal("shed from the lighter tenant")
+		}
+		d.Refuse(2, id, Shed)
+	}
+}
+
 func BenchmarkDoor(b *testing.B) {
 	for _, flows := range []int{10, 1000, 100000} {
 		b.Run(fmt.Sprint(flows), func(b *testing.B) {
--- a/internal/decide/door/heaps.go
+++ b/internal/decide/door/heaps.go
@@ -1,128 +1,50 @@
 package door
 
-import "container/heap"
+import "docksail/internal/order"
 
-// jobHeap is the jobs of a flow, the soonest due first.
-type jobHeap []*job
+// A flow's jobs stand by when they are due, all waiting jobs by when it is too late for them, a tenant's flows and the
+// tenants by their start tags.
 
-func (h jobHeap) Len() int { return len(h) }
-func (h jobHeap) Less(i, j int) bool {
-	return h[i].due < h[j].due || h[i].due == h[j].due && h[i].order < h[j].order
-}
-func (h jobHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].at, h[j].at = i, j
-}
-func (h *jobHeap) Push(x any) {
-	w := x.(*job)
-	w.at = len(*h)
-	*h = append(*h, w)
-}
-func (h *jobHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return w
+func byDue(a, b *job) bool  { return a.due < b.due || a.due == b.due && a.order < b.order }
+func byLate(a, b *job) bool { return a.late < b.late || a.late == b.late && a.order < b.order }
+func byStart(a, b *flow) bool {
+	return a.start < b.start || a.start == b.start && a.order < b.order
 }
+func byTenant(a, b *tenant) bool { return a.start < b.start || a.start == b.start && a.n < b.n }
 
-// lateHeap is all waiting jobs, the one first for which it is too late soonest.
-type lateHeap []*job
-
-func (h lateHeap) Len() int { return len(h) }
-func (h lateHeap) Less(i, j int) bool {
-	return h[i].late < h[j].late || h[i].late == h[j].late && h[i].order < h[j].order
-}
-func (h lateHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].lateI, h[j].lateI = i, j
-}
-func (h *lateHeap) Push(x any) {
-	w := x.(*job)
-	w.lateI = len(*h)
-	*h = append(*h, w)
-}
-func (h *lateHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return w
+func jobHeap() order.Heap[*job] {
+	return order.Heap[*job]{Less: byDue, Place: func(w *job) *int { return &w.at }}
 }
 
-// flowHeap is the flows of a tenant that have jobs, least start tag first.
-type flowHeap []*flow
-
-func (h flowHeap) Len() int { return len(h) }
-func (h flowHeap) Less(i, j int) bool {
-	return h[i].start < h[j].start || h[i].start == h[j].start && h[i].order < h[j].order
-}
-func (h flowHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].at, h[j].at = i, j
+func lateHeap() order.Heap[*job] {
+	return order.Heap[*job]{Less: byLate, Place: func(w *job) *int { return &w.lateAt }}
 }
-func (h *flowHeap) Push(x any) {
-	f := x.(*flow)
-	f.at = len(*h)
-	*h = append(*h, f)
+
+func flowHeap() order.Heap[*flow] {
+	return order.Heap[*flow]{Less: byStart, Place: func(f *flow) *int { return &f.at }}
 }
-func (h *flowHeap) Pop() any {
-	old := *h
-	f := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	f.at = -1
-	return f
+
+func tenantHeap() order.Heap[*tenant] {
+	return order.Heap[*tenant]{Less: byTenant, Place: func(t *tenant) *int { return &t.at }}
 }
 
-// placeFlow puts a flow where it belongs among its tenant's.
+// placeFlow puts a flow where it belongs among its tenant's that have jobs.
 func (d *Door) placeFlow(f *flow) {
-	t := f.tenant
-	switch {
-	case len(f.jobs) == 0 && f.at >= 0:
-		heap.Remove(&t.active, f.at)
-	case len(f.jobs) > 0 && f.at < 0:
-		heap.Push(&t.active, f)
-	case f.at >= 0:
-		heap.Fix(&t.active, f.at)
+	if f.jobs.Len() > 0 {
+		f.tenant.active.Put(f)
+	} else {
+		f.tenant.active.Take(f)
 	}
 }
 
-// tenantHeap is the tenants that may have a job let in, least start tag first.
-type tenantHeap []*tenant
-
-func (h tenantHeap) Len() int { return len(h) }
-func (h tenantHeap) Less(i, j int) bool {
-	return h[i].start < h[j].start || h[i].start == h[j].start && h[i].n < h[j].n
-}
-func (h tenantHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].at, h[j].at = i, j
-}
-func (h *tenantHeap) Push(x any) {
-	t := x.(*tenant)
-	t.at = len(*h)
-	*h = append(*h, t)
-}
-func (h *tenantHeap) Pop() any {
-	old := *h
-	t := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	t.at = -1
-	return t
-}
-
 // place puts a tenant where it belongs among those that may have a job let in.
 func (d *Door) place(t *tenant) {
-	may := len(t.active) > 0 && (t.Running == 0 || t.running < t.Running)
-	switch {
-	case !may && t.at >= 0:
-		heap.Remove(&d.active, t.at)
-	case may && t.at < 0:
+	if t.active.Len() == 0 || t.Running > 0 && t.running >= t.Running {
+		d.active.Take(t)
+		return
+	}
+	if t.at == 0 {
 		t.start = max(t.start, d.virtual) // what it could not use is not saved up
-		heap.Push(&d.active, t)
-	case t.at >= 0:
-		heap.Fix(&d.active, t.at)
 	}
+	d.active.Put(t)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"runtime/metrics"
 	"slices"
 	"strconv"
 
@@ -54,6 +55,7 @@
 	gate    gate.Gate
 	queue   *door.Door
 	signer  *door.Signer
+	memory  memory
 	terms   []door.Tenant // what tenants may do at the door
 	names   []string
 	secret  uint64 // keys the hashes of clients' names
@@ -174,6 +176,7 @@
 		return nil, err
 	}
 	d.queue.FirstCome = s.FirstCome
+	d.memory.most = uint64(s.Limits.Memory)
 	d.terms, d.names = s.Door(), []string{""}
 	for i, t := range d.terms {
 		if err := d.queue.SetTenant(i, t); err != nil {
@@ -207,7 +210,7 @@
 // Round is what the loop calls once a turn: decisions are pulled until there is none, jobs that wait at the door are
 // let in as the module takes them, then output is queued.
 func (d *Dispatcher) Round(now loop.Nanos) {
-	for n := d.queue.ToShed(d.l.Lag()); n > 0; n-- {
+	for n := d.queue.ToShed(d.l.Lag(), d.memory.inUse(now), d.memory.most); n > 0; n-- {
 		id, ok := d.queue.Heaviest()
 		if !ok {
 			break
@@ -680,6 +683,25 @@
 	}
 }
 
+// memory reads how much the process uses, now and then.
+type memory struct {
+	most   uint64 // 0 = not bounded
+	used   uint64
+	at     loop.Nanos
+	sample [1]metrics.Sample
+}
+
+const memoryEvery = 100e6 // nanoseconds between two readings, each some microseconds
+
+func (m *memory) inUse(now loop.Nanos) uint64 {
+	if m.most > 0 && (m.at == 0 || now-m.at >= memoryEvery) {
+		m.at, m.sample[0].Name = now, "/memory/classes/heap/objects:bytes"
+		metrics.Read(m.sample[:])
+		m.used = m.sample[0].Value.Uint64()
+	}
+	return m.used
+}
+
 // TenantView is how a tenant does at the door.
 type TenantView struct {
 	Name             string
--- a/internal/e2e/door_test.go
+++ b/internal/e2e/door_test.go
@@ -18,8 +18,10 @@
 	"google.golang.org/grpc/metadata"
 
 	pb "docksail/api/docksail/v1"
+	"docksail/internal/decide/door"
 	"docksail/internal/dispatch"
 	"docksail/internal/lab/drill"
+	"docksail/policy"
 )
 
 // crowd is a day on which one client of many asks for more than the fleet bears; the tests change it.
@@ -345,3 +347,63 @@
 	}
 	clean(t, st)
 }
+
+// lags is a module that works for long on each job that arrives.
+type lags struct {
+	dispatch.Module
+	by time.Duration
+}
+
+func (m lags) JobArrived(now policy.Nanos, j policy.Job) {
+	time.Sleep(m.by)
+	m.Module.JobArrived(now, j)
+}
+
+// TestOverloadShedsAtTheDoor: a dispatcher whose loop lags, or that uses more memory than it should, nacks what waits,
+// and answers all the same.
+func TestOverloadShedsAtTheDoor(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		lag    time.Duration
+		memory int
+	}{{"loop lags", 100 * time.Millisecond, 0}, {"memory", 0, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			s, err := drill.Parse("day", []byte(strings.Replace(day, "TROUBLES", "", 1)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Memory = c.memory
+			st, err := drill.OpenWith(s, quiet, func(int) func(dispatch.Module) dispatch.Module {
+				return func(m dispatch.Module) dispatch.Module { return lags{m, c.lag} }
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer st.Close()
+			client := dial(t, st.Targets()[0])
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			ends := map[codes.Code]int{}
+			for i := range 80 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					_, s, _ := ask(context.Background(), client, job(fmt.Sprint("shed", i)))
+					mu.Lock()
+					ends[s.Code()]++
+					mu.Unlock()
+				}()
+			}
+			wg.Wait()
+			if ends[codes.OK]+ends[codes.Unavailable]+ends[codes.Aborted] != 80 {
+				t.Errorf("ended as %v, want honoured, nacked or abandoned", ends)
+			}
+			st.Dispatcher(0).Ask(func(d *dispatch.Dispatcher) {
+				if n := d.View().Tenants[0].Counts.Refused[door.Shed]; n == 0 {
+					t.Errorf("nothing was shed; refused %v", d.View().Tenants[0].Counts.Refused)
+				}
+			})
+			clean(t, st)
+		})
+	}
+}
--- a/internal/lab/drill/script.go
+++ b/internal/lab/drill/script.go
@@ -33,6 +33,7 @@
 	FirstCome   bool         `json:"first_come"`   // the door keeps no order but that of arrival
 	Waiting     int          `json:"jobs_waiting"` // at the door; 0 = the usual
 	Connections int          `json:"connections"`  // of clients; 0 = the usual
+	Memory      int          `json:"memory_bytes"` // from which on the door sheds; 0 = no bound
 }
 
 // Dur is a length of time as text.
@@ -234,6 +235,7 @@
 	if s.Connections > 0 {
 		d.Limits.Connections = s.Connections
 	}
+	d.Limits.Memory = s.Memory
 	tenants := map[string]bool{}
 	for _, t := range s.Load {
 		d.Tracks = append(d.Tracks, setup.Track{Name: t.Name, Expected: t.Expected, ExpectedPer1k: t.Per1k,
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -67,7 +67,7 @@
 
 // New makes a loop; it holds four descriptors until Close.
 func New() (*Loop, error) {
-	l := &Loop{start: time.Now(), byFD: make(map[int32]source), buf: make([]byte, readSize),
+	l := &Loop{start: time.Now(), timers: newTimers(), byFD: make(map[int32]source), buf: make([]byte, readSize),
 		posts: xsync.NewMPMCQueue[func()](postRoom)}
 	var err error
 	if l.ep, err = unix.EpollCreate1(unix.EPOLL_CLOEXEC); err != nil {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -348,7 +348,7 @@
 }
 
 func TestTimers(t *testing.T) {
-	var ts timers
+	ts := newTimers()
 	var fired []int
 	mk := make([]Timer, 3000)
 	for i := range mk {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -110,6 +110,7 @@
 	Partial      int `json:"partial_bytes"` // of messages that have come in part, on all connections together
 	Waiting      int `json:"jobs_waiting"`  // at the door
 	Clients      int `json:"clients_known"`
+	Memory       int `json:"memory_bytes"` // on the heap, from which on the door sheds what waits; 0 = no bound
 }
 
 // Effect says what a repeated run of a job would do: redoable, labelled or irreversible.
@@ -225,6 +226,9 @@
 		d.bad("answers.ahead", "is %v, want 0 or more", s.Answers.Ahead)
 	}
 	above("drain_within", float64(s.Drain))
+	if s.Limits.Memory < 0 {
+		d.bad("limits.memory_bytes", "is %d, want 0 or more", s.Limits.Memory)
+	}
 	for _, l := range []struct {
 		name string
 		n    int
