The door lets in sixteen jobs a turn at most, so that a lagging turn is seen

Cause: one turn let in all that waited, eighty jobs of 100 ms each in the test, and shed nothing. Change: sixteen a turn, then the loop turns again.

--- a/internal/decide/door/door.go
+++ b/internal/decide/door/door.go
@@ -65,6 +65,10 @@
 // Own tells that a limit of the caller's own was met.
 func (c Cause) Own() bool { return c == TenantFull || c == OverRate || c == TooLong }
 
+// PerTurn is how many jobs may be let in within one turn of the host's loop: a turn that took long must be seen, and
+// what has come meanwhile be heard, before the next.
+const PerTurn = 16
+
 const (
 	// answerCost is what a token of an answer costs, in tokens read: a token written takes a step of its own, a token
 	// read a share of one with some hundred others; slots and memory level it to this.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -217,7 +217,7 @@
 		}
 		d.turnAway(now, policy.JobID(id), door.Shed)
 	}
-	for {
+	for let := 0; ; {
 		if what, ok := d.mod.Next(d.time(now)); ok {
 			d.do(now, what)
 			continue
@@ -227,6 +227,10 @@
 			continue
 		}
 		if id, ok := d.queue.Next(); ok && d.open(now) {
+			if let++; let > door.PerTurn {
+				d.l.Again()
+				break
+			}
 			d.letIn(now, policy.JobID(id))
 			continue
 		}
