Stand-in engines batch: the model runs behind gRPC where a script asks for it

The simple engines read one prompt at a time and never run out of memory in a batch. A driver steps the batch model on the clock behind the same service; held states, fetches, faults and reports go through it.

--- /dev/null
+++ b/internal/e2e/batch_test.go
@@ -0,0 +1,67 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+
+	"docksail/internal/lab/drill"
+)
+
+// TestBatchingHosts: a day with troubles against hosts that batch keeps the rules and gives whole answers; memory that
+// is short preempts answers, which come whole all the same.
+func TestBatchingHosts(t *testing.T) {
+	s, err := drill.Parse("day", []byte(strings.Replace(day, "TROUBLES", `{"kind": "crash", "at": "1s", "for": "1s", "hosts": [1]},
+		{"kind": "hang", "at": "2s", "for": "1s", "hosts": [4]}, {"kind": "slow", "at": "3s", "for": "1s", "hosts": [2, 3], "factor": 3}`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Batch = true
+	for i := range s.Fleet {
+		s.Fleet[i].Memory = 12000
+	}
+	rep := playScript(t, s, nil)
+	for _, v := range rep.Violations {
+		t.Error(v)
+	}
+	for name, sum := range rep.Sums {
+		if sum.Wrong > 0 || sum.Honoured < sum.Jobs/3 {
+			t.Errorf("track %s: %d of %d honoured, %d wrong", name, sum.Honoured, sum.Jobs, sum.Wrong)
+		}
+	}
+}
+
+// TestShortMemoryPreempts: answers together need more memory than the writer has.
+func TestShortMemoryPreempts(t *testing.T) {
+	st, client := stage(t, func(s *drill.Script) {
+		s.Batch = true
+		s.Fleet[1].Count, s.Fleet[1].Memory = 1, 1600
+	})
+	ends := make(chan codes.Code, 6)
+	for i := range 6 {
+		go func() {
+			req := job(fmt.Sprint("short", i))
+			req.PromptTokens, req.MaxTokens = 100, 400
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			_, s, _ := ask(ctx, client, req)
+			ends <- s.Code()
+		}()
+	}
+	got := map[codes.Code]int{}
+	for range 6 {
+		got[<-ends]++
+	}
+	if got[codes.OK] < 2 || got[codes.DataLoss] > 0 {
+		t.Errorf("ended as %v, want no wrong token", got)
+	}
+	if n := st.Engines[2].Preempted(); n == 0 {
+		t.Error("nothing was preempted: memory was not short")
+	}
+	calm(t, st, 3*time.Second)
+	clean(t, st)
+}
--- /dev/null
+++ b/internal/lab/engine/driver.go
@@ -0,0 +1,273 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	pb "docksail/api/docksail/v1"
+	"docksail/internal/lab/book"
+	"docksail/internal/lab/engine/batch"
+)
+
+// driver runs a batch.Host on the clock.
+type driver struct {
+	mu   sync.Mutex
+	host *batch.Host
+	last batch.ID
+	subs map[batch.ID]*sub
+	wake chan struct{}
+}
+
+// sub is who waits for the events of one piece of work.
+type sub struct {
+	events []batch.Event
+	ready  chan struct{}
+}
+
+const (
+	blockTokens = 16
+	chunkTokens = 2048
+	readerStep  = 5 * time.Millisecond // of a host whose spec names no time between tokens
+)
+
+// shape is a spec as the batch model has it.
+func (s *Spec) shape() batch.Shape {
+	step := s.TokenGap
+	if step <= 0 {
+		step = readerStep
+	}
+	return batch.Shape{Slots: s.Slots, Queue: s.Queue, Chunk: chunkTokens, Step: int64(step), PerRead: int64(1e9 / s.ReadRate),
+		PerRun: int64(step) / int64(2*s.Slots), PerThing: int64(step) / int64(20*s.Slots)}
+}
+
+func newDriver(s *Spec) (*driver, error) {
+	h, err := batch.NewHost(s.shape(), int(s.Memory), blockTokens)
+	if err != nil {
+		return nil, err
+	}
+	return &driver{host: h, subs: map[batch.ID]*sub{}, wake: make(chan struct{}, 1)}, nil
+}
+
+// run steps the host until its process ends.
+func (d *driver) run(ctx context.Context, e *Engine) {
+	for ctx.Err() == nil {
+		d.mu.Lock()
+		took, events, ok := d.host.Begin(nil)
+		d.tell(events)
+		d.mu.Unlock()
+		if !ok {
+			select {
+			case <-d.wake:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		e.mu.Lock()
+		warmth := e.warmth()
+		e.mu.Unlock()
+		if e.sleep(ctx, "", time.Duration(float64(took)/warmth)) != nil {
+			return
+		}
+		d.mu.Lock()
+		d.tell(d.host.End(nil))
+		d.mu.Unlock()
+	}
+}
+
+// tell hands events to who waits for them. The lock is held.
+func (d *driver) tell(events []batch.Event) {
+	for _, ev := range events {
+		if s := d.subs[ev.ID]; s != nil {
+			s.events = append(s.events, ev)
+			select {
+			case s.ready <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+func (d *driver) nudge() {
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *driver) arrive(w batch.Work) (batch.ID, *sub, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last++
+	w.ID = d.last
+	if err := d.host.Arrive(w); err != nil {
+		return 0, nil, err
+	}
+	s := &sub{ready: make(chan struct{}, 1)}
+	d.subs[w.ID] = s
+	d.nudge()
+	return w.ID, s, nil
+}
+
+// next waits for an event.
+func (d *driver) next(ctx context.Context, s *sub) (batch.Event, error) {
+	for {
+		d.mu.Lock()
+		if len(s.events) > 0 {
+			ev := s.events[0]
+			s.events = s.events[1:]
+			d.mu.Unlock()
+			return ev, nil
+		}
+		d.mu.Unlock()
+		select {
+		case <-s.ready:
+		case <-ctx.Done():
+			return batch.Event{}, ctx.Err()
+		}
+	}
+}
+
+func (d *driver) fetched(id batch.ID) {
+	d.mu.Lock()
+	d.host.Fetched(id)
+	d.mu.Unlock()
+	d.nudge()
+}
+
+// deaf forgets who waits; drop takes the work out as well.
+func (d *driver) deaf(id batch.ID) {
+	d.mu.Lock()
+	delete(d.subs, id)
+	d.mu.Unlock()
+}
+
+func (d *driver) drop(id batch.ID) {
+	d.mu.Lock()
+	delete(d.subs, id)
+	d.host.Drop(id)
+	d.mu.Unlock()
+	d.nudge()
+}
+
+// workOf is a request as the batch model has it: its blocks are named by the shared beginning, then by the session.
+func workOf(req *pb.GenerateRequest, answer int, fetch bool) batch.Work {
+	w := batch.Work{Prompt: max(int(req.PromptTokens), 1), Answer: answer, Fetch: fetch}
+	begin := xxhash.Sum64String(req.Tenant + "/b/" + req.Beginning)
+	rest := xxhash.Sum64String(req.Tenant + "/s/" + req.Session)
+	if req.Session == "" {
+		rest = xxhash.Sum64String(req.Tenant + "/l/" + req.Label)
+	}
+	h := batch.Hash(0)
+	for at := blockTokens; at <= w.Prompt; at += blockTokens {
+		key := rest
+		if req.Beginning != "" && at <= int(req.BeginningTokens) {
+			key = begin
+		}
+		h = batch.Chain(h, key)
+		w.Chain = append(w.Chain, h)
+	}
+	return w
+}
+
+func refused(err error) error {
+	if errors.Is(err, batch.ErrFull) {
+		return status.Error(codes.ResourceExhausted, err.Error())
+	}
+	return status.Error(codes.InvalidArgument, err.Error())
+}
+
+// readBatch reads a prompt by the batch model; its state is held when it returns.
+func (e *Engine) readBatch(ctx context.Context, d *driver, req *pb.GenerateRequest) (batch.ID, int, error) {
+	if err := e.sleep(ctx, req.Track, 0); err != nil { // deaf to its track
+		return 0, 0, status.FromContextError(err).Err()
+	}
+	id, s, err := d.arrive(workOf(req, 0, false))
+	if err != nil {
+		return 0, 0, refused(err)
+	}
+	for {
+		ev, err := d.next(ctx, s)
+		if err != nil {
+			d.drop(id)
+			return 0, 0, status.FromContextError(err).Err()
+		}
+		if ev.What == batch.ReadDone {
+			d.deaf(id)
+			return id, ev.N, nil
+		}
+	}
+}
+
+// writeBatch writes an answer by the batch model.
+func (e *Engine) writeBatch(ctx context.Context, d *driver, l *pb.Launch, out grpc.ServerStreamingServer[pb.Tokens]) error {
+	req, begin := l.GetRequest(), time.Now()
+	if err := e.sleep(ctx, req.Track, 0); err != nil {
+		return status.FromContextError(err).Err()
+	}
+	id, s, err := d.arrive(workOf(req, Answer(req), l.StateAddress != ""))
+	if err != nil {
+		return refused(err)
+	}
+	defer d.drop(id)
+	ran := false
+	for {
+		ev, err := d.next(ctx, s)
+		if err != nil {
+			return status.FromContextError(err).Err()
+		}
+		if l.BeginWithinNs > 0 && !ran && time.Since(begin) > time.Duration(l.BeginWithinNs) {
+			return status.Error(codes.DeadlineExceeded, "its time to begin is up")
+		}
+		switch ev.What {
+		case batch.NeedsFetch:
+			if err := e.fetch(ctx, l); err != nil {
+				return err
+			}
+			d.fetched(id)
+		case batch.Token:
+			if !ran {
+				ran = true
+				e.book.Add(book.Entry{Kind: book.Ran, Host: e.Spec.ID, Job: jobName(l.Dispatcher, l.Job), Shot: int(l.Shot), Label: req.Label,
+					Try: int(l.Repeat), Track: req.Track})
+			}
+			e.mu.Lock()
+			stall := e.faults.StallAfter
+			e.mu.Unlock()
+			if stall > 0 && ev.N >= stall {
+				<-ctx.Done()
+				return status.FromContextError(ctx.Err()).Err()
+			}
+			if err := e.sleep(ctx, req.Track, 0); err != nil { // deaf to its track
+				return status.FromContextError(err).Err()
+			}
+			if err := out.Send(&pb.Tokens{Position: uint32(ev.N), Tokens: []uint32{Tok(req, ev.N)}, Text: []byte("tok ")}); err != nil {
+				return err
+			}
+		case batch.Done:
+			e.mu.Lock()
+			e.Served++
+			e.mu.Unlock()
+			return nil
+		}
+	}
+}
+
+// Preempted counts answers that the batch model sent back to the queue.
+func (e *Engine) Preempted() uint64 {
+	e.mu.Lock()
+	d := e.drv
+	e.mu.Unlock()
+	if d == nil {
+		return 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.host.Counts.Preempted
+}
--- a/internal/lab/engine/engine.go
+++ b/internal/lab/engine/engine.go
@@ -21,6 +21,7 @@
 
 	pb "docksail/api/docksail/v1"
 	"docksail/internal/lab/book"
+	"docksail/internal/lab/engine/batch"
 )
 
 // Spec describes a host. Times are real.
@@ -42,6 +43,7 @@
 	Hold          time.Duration // a state that nobody fetches is let go after this
 	ReportEvery   time.Duration // its load report is refreshed so often; 0 = always fresh
 	ReportLate    time.Duration // and is so old when it is sent
+	Batch         bool          // plays the batch model instead of the simple one
 }
 
 // Faults are the failures that a host acts out now; all are off in the zero value.
@@ -117,6 +119,7 @@
 	report   *orca.OrcaLoadReport
 	reportAt time.Time
 	peers    map[string]*grpc.ClientConn
+	drv      *driver // nil: the simple model
 	Served   uint64
 }
 
@@ -124,6 +127,8 @@
 	shot   uint32
 	tokens int64
 	gone   chan struct{}
+	drv    *driver
+	id     batch.ID
 }
 
 type keptPrefix struct {
@@ -158,7 +163,15 @@
 	e.waiting, e.running, e.unread, e.used = 0, 0, 0, 0
 	e.reading = make(chan struct{}, 1)
 	e.states, e.kept, e.peers = map[string]*state{}, map[string]*keptPrefix{}, map[string]*grpc.ClientConn{}
-	e.report = nil
+	e.report, e.drv = nil, nil
+	if e.Spec.Batch {
+		if e.drv, err = newDriver(&e.Spec); err != nil {
+			ln.Close()
+			e.srv = nil
+			return fmt.Errorf("engine %d: %w", e.Spec.ID, err)
+		}
+		go e.drv.run(e.life, e)
+	}
 	e.book.Add(book.Entry{Kind: book.Start, Host: e.Spec.ID})
 	go e.srv.Serve(ln)
 	return nil
@@ -259,7 +272,7 @@
 			return status.Error(codes.Internal, "fallen over")
 		}
 	}
-	if e.faults.Drain || e.waiting+e.running >= s.Slots+s.Queue {
+	if e.faults.Drain || e.drv == nil && e.waiting+e.running >= s.Slots+s.Queue {
 		return status.Error(codes.ResourceExhausted, "full")
 	}
 	if e.faults.FailFast > 0 && float64(now.UnixNano()%1000)/1000 < e.faults.FailFast {
@@ -338,14 +351,23 @@
 	}
 	defer leave()
 	req := l.GetRequest()
-	unread, keptTokens, err := e.read(ctx, req)
-	if err != nil {
+	e.mu.Lock()
+	drv := e.drv
+	e.mu.Unlock()
+	st := &state{shot: l.Shot, tokens: int64(req.PromptTokens), gone: make(chan struct{}), drv: drv}
+	var unread, keptTokens int64
+	if drv != nil {
+		id, n, err := e.readBatch(ctx, drv, req)
+		if err != nil {
+			return nil, err
+		}
+		st.id, unread, keptTokens = id, int64(n), st.tokens-int64(n)
+	} else if unread, keptTokens, err = e.read(ctx, req); err != nil {
 		return nil, status.FromContextError(err).Err()
 	}
 	name := jobName(l.Dispatcher, l.Job)
-	st := &state{shot: l.Shot, tokens: int64(req.PromptTokens), gone: make(chan struct{})}
 	e.mu.Lock()
-	if e.used+st.tokens > e.Spec.Memory {
+	if drv == nil && e.used+st.tokens > e.Spec.Memory {
 		e.mu.Unlock()
 		return nil, status.Error(codes.ResourceExhausted, "no memory for the read state")
 	}
@@ -375,6 +397,9 @@
 	delete(e.states, name)
 	e.used -= st.tokens
 	close(st.gone)
+	if st.drv != nil {
+		st.drv.drop(st.id)
+	}
 	e.book.Add(book.Entry{Kind: book.LetGo, Host: e.Spec.ID, Job: name, Shot: int(st.shot), Note: why})
 }
 
@@ -457,6 +482,12 @@
 		return err
 	}
 	defer leave()
+	e.mu.Lock()
+	drv := e.drv
+	e.mu.Unlock()
+	if drv != nil {
+		return e.writeBatch(ctx, drv, l, out)
+	}
 	begin := time.Now()
 	if err := e.slot(ctx); err != nil {
 		return status.FromContextError(err).Err()
@@ -635,6 +666,12 @@
 	if e.report == nil || time.Since(e.reportAt) >= e.Spec.ReportEvery {
 		e.report = &orca.OrcaLoadReport{MemUtilization: float64(e.used) / float64(max(e.Spec.Memory, 1)),
 			NamedMetrics: map[string]float64{"requests": float64(e.running + e.waiting), "unread_tokens": float64(e.unread)}}
+		if e.drv != nil {
+			e.drv.mu.Lock()
+			e.report.MemUtilization = float64(e.drv.host.Memory.InUse()) / float64(e.drv.host.Memory.Blocks())
+			e.report.NamedMetrics["unread_tokens"] = float64(e.drv.host.Unread())
+			e.drv.mu.Unlock()
+		}
 		e.reportAt = time.Now()
 	}
 	e.report.NamedMetrics["age_ms"] = float64((time.Since(e.reportAt) + late).Milliseconds())
