--- a/internal/e2e/rules_test.go
+++ b/internal/e2e/rules_test.go
@@ -105,12 +105,20 @@
 	m.Module.HostListed(id, zone, kind, cell, h, at)
 }
 
-type floodsCold struct{ dispatch.Module }
+type floodsCold struct {
+	dispatch.Module
+	cold bool // host 1 has been listed with a new start
+}
+
+func (m *floodsCold) HostListed(id policy.HostID, zone policy.ZoneID, kind policy.KindID, cell policy.CellID, h policy.Health, at policy.Nanos) {
+	m.cold = m.cold || id == 1 && at > 0 && h == policy.Serving
+	m.Module.HostListed(id, zone, kind, cell, h, at)
+}
 
-func (m floodsCold) Next(now policy.Nanos) (policy.Decision, bool) {
+func (m *floodsCold) Next(now policy.Nanos) (policy.Decision, bool) {
 	what, ok := m.Module.Next(now)
-	if what.Verb == policy.Launch && what.Host == 2 {
-		what.Host = 1 // all that is read goes to one reader, cold or not
+	if m.cold && what.Verb == policy.Launch && what.Host == 2 {
+		what.Host = 1 // all that the warm reader should read goes to the cold one
 	}
 	return what, ok
 }
@@ -141,7 +149,7 @@
 		{"a drain ignored", 3, `{"kind": "drain", "at": "1s", "for": "6s", "hosts": [4]}`,
 			func(m dispatch.Module) dispatch.Module { return ignoresDrains{m} }, nil},
 		{"a cold host flooded", 4, `{"kind": "crash", "at": "500ms", "for": "500ms", "hosts": [1]}`,
-			func(m dispatch.Module) dispatch.Module { return floodsCold{m} }, nil},
+			func(m dispatch.Module) dispatch.Module { return &floodsCold{Module: m} }, nil},
 		{"a state never let go", 5, `{"kind": "hang", "at": "1s", "for": "3s", "hosts": [3, 4]}`,
 			func(m dispatch.Module) dispatch.Module { return neverLetsGo{m} }, nil},
 	} {
