--- /dev/null
+++ b/internal/lab/engine/batch/net.go
@@ -0,0 +1,136 @@
+package batch
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// Move names a state under way.
+type Move uint64
+
+// Net is the ways over which read states move: ports of readers, links of cells. What moves over a way shares it
+// evenly; a move goes at the pace of its narrowest share. Make it with NewNet.
+type Net struct {
+	ways  []way
+	moves []*move // by their numbers
+	at    Nanos
+}
+
+type way struct {
+	rate float64 // tokens a second
+	n    int     // moves on it
+}
+
+type move struct {
+	id   Move
+	left float64 // tokens
+	slow float64 // times as long, as to a far zone
+	over []int
+}
+
+// NewNet makes a net without ways.
+func NewNet() *Net { return &Net{} }
+
+// Way adds a way of so many tokens a second and gives its number.
+func (n *Net) Way(rate float64) (int, error) {
+	if !(rate > 0) {
+		return 0, fmt.Errorf("way of %v tokens a second: want more than 0", rate)
+	}
+	n.ways = append(n.ways, way{rate: rate})
+	return len(n.ways) - 1, nil
+}
+
+// Rate changes a way's pace, for what moves on it too; 0 cuts it.
+func (n *Net) Rate(now Nanos, w int, rate float64) {
+	n.pass(now)
+	n.ways[w].rate = max(rate, 0)
+}
+
+// Start begins a move; slow is how many times as long each token takes.
+func (n *Net) Start(now Nanos, id Move, tokens int, slow float64, over ...int) error {
+	i, there := n.find(id)
+	if there || tokens < 1 || !(slow >= 1) || len(over) == 0 {
+		return fmt.Errorf("move %d of %d tokens, %v times as long, over %v: want a new one, 1 or more, 1 or more, a way at least", id, tokens, slow, over)
+	}
+	n.pass(now)
+	n.moves = slices.Insert(n.moves, i, &move{id, float64(tokens), slow, slices.Clone(over)})
+	for _, w := range over {
+		n.ways[w].n++
+	}
+	return nil
+}
+
+func (n *Net) find(id Move) (int, bool) {
+	return slices.BinarySearchFunc(n.moves, id, func(m *move, id Move) int { return cmp.Compare(m.id, id) })
+}
+
+// Stop ends a move before its time; false if there is none of that number.
+func (n *Net) Stop(now Nanos, id Move) bool {
+	i, there := n.find(id)
+	if !there {
+		return false
+	}
+	n.pass(now)
+	n.end(i)
+	return true
+}
+
+func (n *Net) end(i int) {
+	for _, w := range n.moves[i].over {
+		n.ways[w].n--
+	}
+	n.moves = slices.Delete(n.moves, i, i+1)
+}
+
+// pace of a move now, in tokens a nanosecond.
+func (n *Net) pace(m *move) float64 {
+	p := math.Inf(1)
+	for _, w := range m.over {
+		p = min(p, n.ways[w].rate/float64(n.ways[w].n))
+	}
+	return p / m.slow / 1e9
+}
+
+// pass moves everything on to a time. Shares must not have changed since the last.
+func (n *Net) pass(now Nanos) {
+	if now <= n.at {
+		return
+	}
+	for _, m := range n.moves {
+		m.left -= n.pace(m) * float64(now-n.at)
+	}
+	n.at = now
+}
+
+// Next is when the next move ends, if nothing else changes.
+func (n *Net) Next() (Nanos, bool) {
+	at, some := Nanos(math.MaxInt64), false
+	for _, m := range n.moves {
+		if p := n.pace(m); p > 0 {
+			at, some = min(at, n.at+Nanos(math.Ceil(max(m.left, 0)/p))), true
+		}
+	}
+	return at, some
+}
+
+// Ended moves everything on to a time, in steps from one end to the next, and gives what has ended, in order.
+func (n *Net) Ended(now Nanos, into []Move) []Move {
+	const crumb = 1e-6 // of a token, left by rounding
+	for {
+		at, some := n.Next()
+		if !some || at > now {
+			n.pass(now)
+			return into
+		}
+		n.pass(at)
+		for i := 0; i < len(n.moves); i++ {
+			if n.moves[i].left <= crumb {
+				into = append(into, n.moves[i].id)
+				n.end(i)
+				i--
+			}
+		}
+	}
+}
