--- a/internal/lab/drill/stage.go
+++ b/internal/lab/drill/stage.go
@@ -43,6 +43,7 @@
 	health  map[int]pb.Health
 	counts  []dispatch.Counts // of the lives that ended
 	began   time.Time
+	links   *engine.Links
 }
 
 // Open starts a day's parties.
@@ -59,8 +60,13 @@
 	if st.dir, err = os.MkdirTemp("", "docksail-drill"); err != nil {
 		return st, err
 	}
+	const cellFactor, zoneSlower = 3, 2 // a cell's link carries what three of its hosts send; a far zone's tokens take twice as long
+	st.links = engine.NewLinks(cellFactor, zoneSlower)
 	for _, spec := range s.hosts() {
 		e := engine.New(spec, engine.Simple{}, st.Book)
+		if s.Batch {
+			e.Links = st.links
+		}
 		if err := e.Start("127.0.0.1:0"); err != nil {
 			return st, err
 		}
@@ -238,6 +244,9 @@
 	for _, e := range st.Engines {
 		e.Crash()
 	}
+	if st.links != nil {
+		st.links.Close()
+	}
 	if st.dir != "" {
 		os.RemoveAll(st.dir)
 	}
--- a/internal/lab/engine/engine.go
+++ b/internal/lab/engine/engine.go
@@ -95,6 +95,7 @@
 type Engine struct {
 	pb.UnimplementedEngineServer
 	Spec  Spec
+	Links *Links // over which states move; nil: each move alone, as Model has it. Set before Start
 	model Model
 	book  *book.Book
 
@@ -591,9 +592,8 @@
 		}
 		e.peers[l.StateAddress] = peer
 	}
-	cell := e.Spec.Cell
 	e.mu.Unlock()
-	ctx = metadata.AppendToOutgoingContext(ctx, "docksail-cell", cell)
+	ctx = metadata.AppendToOutgoingContext(ctx, "docksail-cell", e.Spec.Cell, "docksail-zone", e.Spec.Zone)
 	stream, err := pb.NewEngineClient(peer).Fetch(ctx, &pb.FetchRequest{Dispatcher: l.Dispatcher, Job: l.Job})
 	if err != nil {
 		return stateless(err.Error())
@@ -627,7 +627,19 @@
 	if v := md.Get("docksail-cell"); len(v) > 0 {
 		cell = v[0]
 	}
-	t := time.Duration(float64(e.model.MoveTime(&e.Spec, st.tokens, cell == e.Spec.Cell)) * slow)
+	if e.Links != nil {
+		zone := e.Spec.Zone
+		if v := md.Get("docksail-zone"); len(v) > 0 {
+			zone = v[0]
+		}
+		if err := e.Links.Move(out.Context(), &e.Spec, st.tokens, zone, cell, slow); err != nil {
+			return status.FromContextError(err).Err()
+		}
+	}
+	t := time.Duration(0) // as long as it hangs or pauses
+	if e.Links == nil {
+		t = time.Duration(float64(e.model.MoveTime(&e.Spec, st.tokens, cell == e.Spec.Cell)) * slow)
+	}
 	if err := e.sleep(out.Context(), "", t); err != nil {
 		return status.FromContextError(err).Err()
 	}
