--- a/cmd/docksail/serve.go
+++ b/cmd/docksail/serve.go
@@ -201,12 +201,12 @@
 			if _, err := s.Module(1, 0); err != nil {
 				return fmt.Errorf("%s: %w", args[0], err)
 			}
-			out, err := json.MarshalIndent(s, "", "  ")
+			out, err := s.Print()
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(c.OutOrStdout(), "%s\n", out)
-			return nil
+			_, err = c.OutOrStdout().Write(out)
+			return err
 		},
 	}
 }
--- /dev/null
+++ b/internal/setup/print.go
@@ -0,0 +1,70 @@
+package setup
+
+import (
+	"bytes"
+	"encoding/json"
+	"reflect"
+	"time"
+
+	"docksail/policy"
+)
+
+// MarshalText gives the name.
+func (e Effect) MarshalText() ([]byte, error) {
+	return []byte([]string{policy.Redoable: "redoable", policy.Labelled: "labelled", policy.Irreversible: "irreversible"}[e]), nil
+}
+
+// MarshalText gives the name.
+func (g Group) MarshalText() ([]byte, error) {
+	return []byte([]string{policy.GroupAll: "all", policy.GroupZone: "zone", policy.GroupCell: "cell"}[g]), nil
+}
+
+// Print gives what is in force, in the form in which Parse reads it: every field, lengths of time as texts.
+func (s *Dispatcher) Print() ([]byte, error) {
+	var b bytes.Buffer
+	if err := write(&b, reflect.ValueOf(*s)); err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, b.Bytes(), "", "  "); err != nil {
+		return nil, err
+	}
+	return append(out.Bytes(), '\n'), nil
+}
+
+// write keeps the order of fields, which a map would not.
+func write(b *bytes.Buffer, v reflect.Value) error {
+	if t, ok := v.Interface().(time.Duration); ok {
+		return write(b, reflect.ValueOf(t.String()))
+	}
+	if _, ok := v.Interface().(json.Marshaler); !ok && v.Kind() == reflect.Struct && v.NumField() > 0 && v.Type().Field(0).Tag.Get("json") != "" {
+		b.WriteByte('{')
+		for i := range v.NumField() {
+			if i > 0 {
+				b.WriteByte(',')
+			}
+			b.WriteString(`"` + v.Type().Field(i).Tag.Get("json") + `":`)
+			if err := write(b, v.Field(i)); err != nil {
+				return err
+			}
+		}
+		b.WriteByte('}')
+		return nil
+	}
+	if v.Kind() == reflect.Slice {
+		b.WriteByte('[')
+		for i := range v.Len() {
+			if i > 0 {
+				b.WriteByte(',')
+			}
+			if err := write(b, v.Index(i)); err != nil {
+				return err
+			}
+		}
+		b.WriteByte(']')
+		return nil
+	}
+	text, err := json.Marshal(v.Interface())
+	b.Write(text)
+	return err
+}
--- a/internal/setup/setup_test.go
+++ b/internal/setup/setup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -71,6 +72,37 @@
 	}
 }
 
+// TestPrint: what is printed is read back as the same.
+func TestPrint(t *testing.T) {
+	for _, name := range []string{"x", "../../deploy/docksail.json"} {
+		text := []byte(good)
+		if name != "x" {
+			var err error
+			if text, err = os.ReadFile(name); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s, err := Parse(name, text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out, err := s.Print()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again, err := Parse("printed", out)
+		if err != nil {
+			t.Fatalf("%v in %s", err, out)
+		}
+		if len(s.Tenants) == 0 { // none, written or not
+			s.Tenants, again.Tenants = nil, nil
+		}
+		if !reflect.DeepEqual(s, again) {
+			t.Errorf("printed as %s", out)
+		}
+	}
+}
+
 func TestAllErrorsAtOnce(t *testing.T) {
 	_, err := Parse("x", []byte(strings.NewReplacer(`"from": 0.3`, `"from": "x"`, `"zone": "a"`, `"nonsense": 1`).Replace(good)))
 	if err == nil || strings.Count(err.Error(), "\n") != 1 {
