--- a/internal/lab/drill/script.go
+++ b/internal/lab/drill/script.go
@@ -29,6 +29,7 @@
 	Dispatchers []Dispatcher `json:"dispatchers" need:"a list of dispatchers"`
 	Load        []Track      `json:"tracks" need:"a list of tracks"`
 	Troubles    []Trouble    `json:"troubles"`
+	Noise       float64      `json:"report_noise"`
 	Batch       bool         `json:"batching"` // hosts play the batch model instead of the simple one
 	Most        int64        `json:"launches"`
 	FirstCome   bool         `json:"first_come"`   // the door keeps no order but that of arrival
@@ -205,7 +206,7 @@
 			e := engine.Spec{ID: len(all) + 1, Role: roles[h.Role], Zone: h.Zone, Cell: h.Cell, Slots: h.Slots, Queue: h.Queue,
 				Memory: h.Memory, ReadRate: h.ReadRate, TokenGap: h.TokenGap, JobsPerSecond: h.Jobs, ColdFrom: s.Cold.From,
 				Warm: s.Cold.Warm, Topple: s.Cold.Multiple, ToppleOver: s.Cold.Window, MoveRate: h.MoveRate,
-				Hold: 10 * time.Second, ReportEvery: 100 * time.Millisecond, Batch: s.Batch}
+				Hold: 10 * time.Second, ReportEvery: 100 * time.Millisecond, Batch: s.Batch, ReportNoise: s.Noise}
 			if e.Memory == 0 {
 				e.Memory = 200000
 			}
--- a/internal/lab/engine/driver.go
+++ b/internal/lab/engine/driver.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	orca "github.com/cncf/xds/go/xds/data/orca/v3"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -271,3 +272,22 @@
 	defer d.mu.Unlock()
 	return d.host.Counts.Preempted
 }
+
+// batchReport makes the report that is known of a batching host now; false if there is none yet. The engine's lock is
+// held.
+func (e *Engine) batchReport(late time.Duration) bool {
+	d, now := e.drv, int64(time.Since(e.started))
+	d.mu.Lock()
+	h := d.host
+	unread := h.Unread()
+	e.rep.See(now, batch.Figures{Requests: float64(h.Queued() + h.Running()), Memory: float64(h.Memory.InUse()) / float64(h.Memory.Blocks()),
+		Unread: float64(unread), Finish: int64(float64(unread) / e.Spec.ReadRate * 1e9)})
+	d.mu.Unlock()
+	e.rep.Late(int64(late))
+	f, age, ok := e.rep.Known(now)
+	if ok {
+		e.report = &orca.OrcaLoadReport{MemUtilization: f.Memory, NamedMetrics: map[string]float64{"requests": f.Requests,
+			"unread_tokens": f.Unread, "finish_ms": float64(f.Finish) / 1e6, "age_ms": float64(age) / 1e6}}
+	}
+	return ok
+}
--- a/internal/lab/engine/engine.go
+++ b/internal/lab/engine/engine.go
@@ -43,6 +43,7 @@
 	Hold          time.Duration // a state that nobody fetches is let go after this
 	ReportEvery   time.Duration // its load report is refreshed so often; 0 = always fresh
 	ReportLate    time.Duration // and is so old when it is sent
+	ReportNoise   float64       // its figures are off by this spread; the batch model alone
 	Batch         bool          // plays the batch model instead of the simple one
 }
 
@@ -121,6 +122,7 @@
 	reportAt time.Time
 	peers    map[string]*grpc.ClientConn
 	drv      *driver // nil: the simple model
+	rep      *batch.Reporter
 	Served   uint64
 }
 
@@ -171,6 +173,11 @@
 			e.srv = nil
 			return fmt.Errorf("engine %d: %w", e.Spec.ID, err)
 		}
+		if e.rep, err = batch.NewReporter(uint64(e.Spec.ID), int64(e.Spec.ReportEvery), 0, e.Spec.ReportNoise); err != nil {
+			ln.Close()
+			e.srv = nil
+			return fmt.Errorf("engine %d: %w", e.Spec.ID, err)
+		}
 		go e.drv.run(e.life, e)
 	}
 	e.book.Add(book.Entry{Kind: book.Start, Host: e.Spec.ID})
@@ -675,18 +682,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	late := e.Spec.ReportLate + e.faults.ReportLate
-	if e.report == nil || time.Since(e.reportAt) >= e.Spec.ReportEvery {
-		e.report = &orca.OrcaLoadReport{MemUtilization: float64(e.used) / float64(max(e.Spec.Memory, 1)),
-			NamedMetrics: map[string]float64{"requests": float64(e.running + e.waiting), "unread_tokens": float64(e.unread)}}
-		if e.drv != nil {
-			e.drv.mu.Lock()
-			e.report.MemUtilization = float64(e.drv.host.Memory.InUse()) / float64(e.drv.host.Memory.Blocks())
-			e.report.NamedMetrics["unread_tokens"] = float64(e.drv.host.Unread())
-			e.drv.mu.Unlock()
+	if e.drv != nil {
+		if !e.batchReport(late) {
+			return nil
+		}
+	} else {
+		if e.report == nil || time.Since(e.reportAt) >= e.Spec.ReportEvery {
+			e.report = &orca.OrcaLoadReport{MemUtilization: float64(e.used) / float64(max(e.Spec.Memory, 1)),
+				NamedMetrics: map[string]float64{"requests": float64(e.running + e.waiting), "unread_tokens": float64(e.unread)}}
+			e.reportAt = time.Now()
 		}
-		e.reportAt = time.Now()
+		e.report.NamedMetrics["age_ms"] = float64((time.Since(e.reportAt) + late).Milliseconds())
 	}
-	e.report.NamedMetrics["age_ms"] = float64((time.Since(e.reportAt) + late).Milliseconds())
 	b, err := proto.Marshal(e.report)
 	if err != nil {
 		return nil
--- a/internal/lab/engine/engine_test.go
+++ b/internal/lab/engine/engine_test.go
@@ -8,10 +8,13 @@
 	"testing"
 	"time"
 
+	orca "github.com/cncf/xds/go/xds/data/orca/v3"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	pb "docksail/api/docksail/v1"
 )
@@ -106,3 +109,40 @@
 		}
 	}
 }
+
+// TestReportsAreLate: a batching host's report is that of some time ago and says so; before one is known there is none.
+func TestReportsAreLate(t *testing.T) {
+	e, c := startOne(t, Spec{ID: 1, Role: pb.Role_ROLE_READER, Slots: 8, Queue: 8, Memory: 1 << 16, ReadRate: 1e6, JobsPerSecond: 100, MoveRate: 1e6,
+		Hold: time.Second, Batch: true, ReportEvery: 10 * time.Millisecond, ReportLate: 150 * time.Millisecond})
+	read := func(job uint64) (*orca.OrcaLoadReport, bool) {
+		var md metadata.MD
+		if _, err := c.Read(context.Background(), &pb.Launch{Job: job, Request: &pb.GenerateRequest{PromptTokens: 3200, Label: string(rune('a' + job))}}, grpc.Trailer(&md)); err != nil {
+			t.Fatal(err)
+		}
+		v := md.Get("endpoint-load-metrics-bin")
+		if len(v) == 0 {
+			return nil, false
+		}
+		r := &orca.OrcaLoadReport{}
+		if err := proto.Unmarshal([]byte(v[0]), r); err != nil {
+			t.Fatal(err)
+		}
+		return r, true
+	}
+	if _, ok := read(0); ok {
+		t.Error("a report is known before it can be")
+	}
+	time.Sleep(200 * time.Millisecond)
+	r, ok := read(1)
+	if !ok || r.NamedMetrics["age_ms"] < 150 || r.MemUtilization != 0 {
+		t.Errorf("%v: want the report of the start, from before anything was held, 150 ms old at least", r)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if r, _ := read(2); r == nil || r.MemUtilization < 0.04 || r.MemUtilization > 0.06 {
+		t.Errorf("%v: want one state of 200 in 4,096 blocks in use", r)
+	}
+	e.Fail(func(f *Faults) { f.ReportLate = time.Hour })
+	if _, ok := read(3); ok {
+		t.Error("a report is known an hour early")
+	}
+}
