Newcomers of one source may book half a slot, a known client an eighth

Cause: with an eighth for all newcomers of a source, two hundred clients behind one address were booked further out than their patience; 55 of 214 came back. Change: a source's share of a slot follows its weight.

--- a/internal/decide/door/book.go
+++ b/internal/decide/door/book.go
@@ -151,8 +151,8 @@
 	graceBefore, graceAfter = 1, 4
 	// serials of a slot, at most.
 	serials = 4096
-	// hoardPart of a slot's room may be booked for one client, or for the newcomers of one source, one ticket at least: who
-	// asks a thousand times for a place does not take the others' places.
+	// hoardPart of a slot's room may be booked for one client, by its weight for the newcomers of one source, one ticket
+	// at least: who asks a thousand times for a place does not take the others' places.
 	hoardPart = 1.0 / 8
 	// hands count the tickets of a slot by the hash of who has them.
 	hands = 64
@@ -193,13 +193,13 @@
 }
 
 // take books cost in the first slot from a time on that has room at a pace; false if none has.
-func (b *book) take(now, from Nanos, who uint64, cost, rate float64) (int64, uint32, bool) {
+func (b *book) take(now, from Nanos, who uint64, weight, cost, rate float64) (int64, uint32, bool) {
 	room := bookedPart * rate * float64(b.len)
 	first, last := max(from/b.len, now/b.len+1), now/b.len+slots-graceAfter-2
 	for n := first; n <= last; n++ {
 		s := b.at(n)
 		hand := &s.by[who%hands]
-		if *hand > 0 && *hand+cost > hoardPart*room {
+		if *hand > 0 && *hand+cost > weight*hoardPart*room {
 			continue
 		}
 		if s.given < serials && (s.cost+cost <= room || s.given == 0) { // a job larger than a slot takes one of its own
@@ -247,11 +247,11 @@
 	if c != OverRate { // what waits has to pass first
 		from = max(from, now+min(Nanos(d.total/rate), Nanos(slots/2)*d.book.len))
 	}
-	who := j.Client
+	who, weight := j.Client, 1.0
 	if who == 0 || !d.known.is(now, t.n, who) {
-		who = j.Source
+		who, weight = j.Source, newcomers
 	}
-	n, serial, ok := d.book.take(now, from, who^uint64(t.n)*0x9e3779b97f4a7c15, cost, rate)
+	n, serial, ok := d.book.take(now, from, who^uint64(t.n)*0x9e3779b97f4a7c15, weight, cost, rate)
 	if !ok {
 		return Advice{After: slots * d.book.len}
 	}
