--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -13,13 +13,13 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/net/http2"
 
 	"docksail/internal/decide/door"
 	"docksail/internal/decide/gate"
 	"docksail/internal/decide/links"
 	"docksail/internal/decide/pace"
-	front "docksail/internal/front/grpc"
+	"docksail/internal/front"
+	"docksail/internal/front/grpc"
 	"docksail/internal/h2"
 	"docksail/internal/loop"
 	"docksail/internal/setup"
@@ -51,7 +51,10 @@
 	l       *loop.Loop
 	log     *slog.Logger
 	mod     Module
-	clients *front.Server
+	clients Entry
+	rpc     *grpc.Server // the door, where it is gRPC's
+	exit    Exit
+	direct  bool // jobs go to the module as they come: no door holds them back
 	gate    gate.Gate
 	queue   *door.Door
 	signer  *door.Signer
@@ -64,15 +67,10 @@
 	ages    []loop.Nanos
 	inside  []unlaunched // jobs that the module has and has not launched, by when they were let in
 	advises int64
-	keeper  links.Keeper
 	life    uint64 // this start of the dispatcher, in what engines are told
 	wall    int64  // module time at the loop's 0: Unix nanoseconds
 
-	jobs    jobs.Table[job]
-	engines map[policy.HostID]*engine
-	dirty   []*link
-	list    *fleet.List
-	lister  lister
+	jobs jobs.Table[Job]
 
 	tracks  map[string]policy.TrackID
 	tenants map[string]policy.TenantID
@@ -80,12 +78,8 @@
 	hashKey uint64
 	hash    xxhash.Digest
 	ahead   int64
-	connect int64
-	lim     h2.Limits
 	wake    loop.Timer
 	onWake  func(loop.Nanos)
-	scratch []byte
-	facts   []links.Link
 
 	leaving  bool
 	leaveAt  loop.Timer
@@ -108,14 +102,15 @@
 	Pings, DeadLinks                                 uint64
 }
 
-// job is one job in hand.
-type job struct {
+// Job is one job in hand.
+type Job struct {
 	jobs.Account
-	call    front.Call
-	raw     []byte // the client's message
+	call    front.Call // nil once it is answered
+	Raw     []byte     // the client's message
+	Named   []byte     // the client's name for it
 	track   policy.TrackID
-	repeat  uint32
-	trace   string
+	Repeat  uint32
+	Trace   string
 	arrived loop.Nanos
 	ends    loop.Nanos // the call's own time is up; 0 = never
 	begun   loop.Nanos // the answer's first token came; 0 = not yet
@@ -128,52 +123,46 @@
 	tokens  int64 // messages relayed
 	ran     bool  // a launch was sent to a host that answers
 
-	on      *link      // where the launch that is out is
-	stream  *h2.Stream // nil while its connection is under way
-	wired   bool       // the launch that is out was sent
-	waited  bool       // one of its launches has waited for an engine's trial
-	host    policy.HostID
-	reads   bool // it is a read
-	sent    loop.Nanos
-	within  int64 // its time
+	sent    Sent          // the launch that is out; nil = it is none of the exit's
+	Host    policy.HostID // where it goes
+	Reads   bool          // it is a read
+	Sent    loop.Nanos
+	Within  int64   // its time
+	rpc     sending // how the gRPC exit holds it
 	timer   loop.Timer
 	onTimer func(loop.Nanos)
 	d       *Dispatcher
 }
 
-// New makes a dispatcher on a loop; Start sets it going. life must differ from one start to the next; secrets is
-// where it draws keys from that nobody may guess, crypto/rand's Reader but for simulations.
+// New makes a dispatcher on a loop, whose clients and engines speak gRPC; Start sets it going. life must differ from
+// one start to the next; secrets is where it draws keys from that nobody may guess, crypto/rand's Reader but for
+// simulations.
 func New(l *loop.Loop, s *setup.Dispatcher, log *slog.Logger, seed, life uint64, secrets io.Reader, wrap func(Module) Module) (*Dispatcher, error) {
-	d := &Dispatcher{l: l, log: log, life: life, wall: l.Wall(), engines: make(map[policy.HostID]*engine),
-		list: fleet.New(), tracks: make(map[string]policy.TrackID), tenants: make(map[string]policy.TenantID),
-		hashKey: s.HashKey, ahead: int64(s.Answers.Ahead), connect: int64(s.Launches.Connect)}
-	mod, err := s.Module(seed, d.list.Zone(s.Zone))
+	list := fleet.New()
+	mod, err := s.Module(seed, list.Zone(s.Zone))
 	if err != nil {
 		return nil, fmt.Errorf("decision module: %w", err)
 	}
-	if d.mod = mod; wrap != nil {
-		d.mod = wrap(mod)
+	var names []string
+	for _, t := range s.Tracks {
+		names = append(names, t.Name)
 	}
-	shortest := int64(s.Tracks[0].Expected)
-	for i, t := range s.Tracks {
-		d.tracks[t.Name] = policy.TrackID(i)
-		d.times = append(d.times, trackTimes{int64(t.Expected), int64(t.ExpectedPer1k), int64(t.Patience),
-			int64(t.TokenGap), policy.Effect(t.Effect) == policy.Redoable})
-		shortest = min(shortest, int64(t.Expected))
+	d, shortest := bare(l, log, mod, names, s.PolicyTracks(), life)
+	if wrap != nil {
+		d.mod = wrap(mod)
 	}
+	d.hashKey, d.ahead, d.advises = s.HashKey, int64(s.Answers.Ahead), int64(s.Answers.MaxAdvice)
 	for i, t := range s.Tenants {
 		d.tenants[t.Name] = policy.TenantID(i)
 	}
-	d.keeper = links.Keeper{Expected: shortest}
 	d.gate = gate.Gate{Most: s.Limits.Jobs, Prompt: int64(s.Limits.Prompt)}
-	d.lim = h2.Limits{Streams: uint32(s.Limits.Streams), StreamWindow: uint32(s.Limits.StreamWindow),
+	lim := h2.Limits{Streams: uint32(s.Limits.Streams), StreamWindow: uint32(s.Limits.StreamWindow),
 		ConnWindow: h2.Usual.ConnWindow, HeaderBytes: uint32(s.Limits.Headers), MessageBytes: uint32(s.Limits.Message)}
-	d.onWake = func(now loop.Nanos) { d.mod.Woken(d.time(now)) }
 	var key [40]byte
 	if _, err := io.ReadFull(secrets, key[:]); err != nil {
 		return nil, fmt.Errorf("keys: %w", err)
 	}
-	d.signer, d.secret, d.advises = door.NewSigner(key[:32]), binary.LittleEndian.Uint64(key[32:]), int64(s.Answers.MaxAdvice)
+	d.signer, d.secret = door.NewSigner(key[:32]), binary.LittleEndian.Uint64(key[32:])
 	if !s.Answers.Advice {
 		d.signer = nil
 	}
@@ -194,21 +183,54 @@
 			d.names = append(d.names, t.Name)
 		}
 	}
-	d.onLate = func(loop.Nanos) {} // the round looks
-	if d.clients, err = front.New(l, d, d.lim, s.Limits.Connections, s.Limits.Output, s.Limits.Partial); err != nil {
+	if d.rpc, err = grpc.New(l, d, lim, s.Limits.Connections, s.Limits.Output, s.Limits.Partial); err != nil {
 		return nil, err
 	}
-	d.lister.init(d, s.Fleet)
+	d.clients = d.rpc
+	x := &engines{d: d, list: list, by: make(map[policy.HostID]*engine), keeper: links.Keeper{Expected: shortest},
+		connect: int64(s.Launches.Connect), lim: lim}
+	x.lister.init(x, s.Fleet)
+	d.exit = x
 	return d, nil
 }
 
+// Direct makes a dispatcher whose jobs go to the module as they come, at most so many in hand, with the tracks that the
+// module was made with; Ends gives it its entry and exit, Start sets it going. advises is the longest advice.
+func Direct(l *loop.Loop, log *slog.Logger, mod Module, names []string, tracks []policy.Track, most int, prompt, advises int64, life uint64) (*Dispatcher, error) {
+	d, shortest := bare(l, log, mod, names, tracks, life)
+	d.direct, d.advises = true, advises
+	d.gate = gate.Gate{Most: most, Prompt: prompt}
+	var err error
+	d.queue, err = door.New(1, 1, shortest, nil) // nothing ever waits there
+	return d, err
+}
+
+// Ends gives a dispatcher made by Direct the ways in and out.
+func (d *Dispatcher) Ends(in Entry, out Exit) { d.clients, d.exit = in, out }
+
+// bare makes what all dispatchers have, and gives the shortest expected time.
+func bare(l *loop.Loop, log *slog.Logger, mod Module, names []string, tracks []policy.Track, life uint64) (*Dispatcher, int64) {
+	d := &Dispatcher{l: l, log: log, mod: mod, life: life, wall: l.Wall(), tracks: make(map[string]policy.TrackID),
+		tenants: make(map[string]policy.TenantID)}
+	shortest := int64(tracks[0].Expected)
+	for i, t := range tracks {
+		d.tracks[names[i]] = policy.TrackID(i)
+		d.times = append(d.times, trackTimes{int64(t.Expected), int64(t.ExpectedPer1k), int64(t.Patience),
+			int64(t.TokenGap), t.Effect == policy.Redoable})
+		shortest = min(shortest, int64(t.Expected))
+	}
+	d.onWake = func(now loop.Nanos) { d.mod.Woken(d.Time(now)) }
+	d.onLate = func(loop.Nanos) {} // the round looks
+	return d, shortest
+}
+
 // Start listens for clients and asks for the list of engines; it gives the address it listens on.
 func (d *Dispatcher) Start(at netip.AddrPort, share bool) (netip.AddrPort, error) {
 	addr, err := d.clients.Listen(at, share)
 	if err != nil {
 		return addr, err
 	}
-	d.lister.start()
+	d.exit.Start(d.l.Now())
 	return addr, nil
 }
 
@@ -223,7 +245,7 @@
 		d.turnAway(now, policy.JobID(id), door.Shed)
 	}
 	for let := 0; ; {
-		if what, ok := d.mod.Next(d.time(now)); ok {
+		if what, ok := d.mod.Next(d.Time(now)); ok {
 			d.do(now, what)
 			continue
 		}
@@ -249,11 +271,7 @@
 		d.l.At(&d.expiry, max(at, now+1), d.onLate)
 	}
 	d.clients.Flush()
-	for _, k := range d.dirty {
-		k.dirty = false
-		k.flush()
-	}
-	d.dirty = d.dirty[:0]
+	d.exit.Flush()
 	if d.leaving && d.jobs.Len() == 0 && d.clients.Idle() {
 		d.leaveEnd()
 	}
@@ -284,7 +302,7 @@
 	j := d.jobs.Find(id)
 	j.atDoor, j.let = false, true
 	d.inside = append(d.inside, unlaunched{id: id, at: now})
-	d.mod.JobArrived(d.time(now), j.given)
+	d.mod.JobArrived(d.Time(now), j.given)
 }
 
 // turnAway refuses a job that waits at the door.
@@ -314,8 +332,8 @@
 // Clients counts open connections of clients.
 func (d *Dispatcher) Clients() int { return d.clients.Conns() }
 
-// time is the module's: Unix nanoseconds by the loop's clock, so that hosts' starts compare with it.
-func (d *Dispatcher) time(now loop.Nanos) policy.Nanos { return policy.Nanos(d.wall + now) }
+// Time is the module's: Unix nanoseconds by the loop's clock, so that hosts' starts compare with it.
+func (d *Dispatcher) Time(now loop.Nanos) policy.Nanos { return policy.Nanos(d.wall + now) }
 
 // Leave drains: no new clients or jobs; those in hand have so long to end; then done is called, once.
 func (d *Dispatcher) Leave(within int64, done func()) {
@@ -332,7 +350,7 @@
 	d.clients.Leave()
 	d.l.At(&d.leaveAt, d.l.Now()+within, func(now loop.Nanos) {
 		d.log.Warn("drain time is up", "jobs", d.jobs.Len())
-		d.jobs.Each(func(_ policy.JobID, j *job) {
+		d.jobs.Each(func(_ policy.JobID, j *Job) {
 			if j.Answered() {
 				return
 			}
@@ -417,18 +435,21 @@
 	}
 	id, j := d.jobs.Add()
 	ask.ID = door.JobID(id)
-	if cause, advice := d.queue.Arrive(now, ask); cause != door.Admitted {
-		d.jobs.Drop(id)
-		d.Counts.Refused++
-		if cause == door.TooLong {
-			return 0, fmt.Errorf("%s, %d tokens: %w", cause, r.Prompt, front.ErrBad)
+	if !d.direct {
+		if cause, advice := d.queue.Arrive(now, ask); cause != door.Admitted {
+			d.jobs.Drop(id)
+			d.Counts.Refused++
+			if cause == door.TooLong {
+				return 0, fmt.Errorf("%s, %d tokens: %w", cause, r.Prompt, front.ErrBad)
+			}
+			return 0, d.refusal(cause.String(), cause.Own(), advice)
 		}
-		return 0, d.refusal(cause.String(), cause.Own(), advice)
 	}
 	ask.Ticket = nil
 	d.Counts.Jobs++
-	*j = job{Account: jobs.Account{ID: id}, call: call, raw: append(j.raw[:0], r.Raw...), track: track,
-		repeat: uint32(r.Repeat), trace: r.Trace, arrived: now, timer: j.timer, onTimer: j.onTimer, d: d, ask: ask, atDoor: true}
+	*j = Job{Account: jobs.Account{ID: id}, call: call, Raw: append(j.Raw[:0], r.Raw...), Named: append(j.Named[:0], r.Named...), track: track,
+		Repeat: uint32(r.Repeat), Trace: r.Trace, arrived: now, timer: j.timer, onTimer: j.onTimer, d: d, ask: ask, atDoor: !d.direct}
+	j.rpc.j = j
 	if j.onTimer == nil {
 		j.onTimer = j.due
 	}
@@ -438,8 +459,11 @@
 	j.given = policy.Job{ID: id, Track: track, Tenant: tenant,
 		Session: policy.SessionKey(d.key('s', tenant, r.Session)),
 		Prefix:  policy.PrefixKey(d.key('b', tenant, r.Beginning)),
-		Prompt:  r.Prompt, Shared: r.Shared, Cap: r.Most, Deadline: d.time(now + left), Hint: policy.Nanos(r.Hint),
+		Prompt:  r.Prompt, Shared: r.Shared, Cap: r.Most, Deadline: d.Time(now + left), Hint: policy.Nanos(r.Hint),
 		Repeat: r.Repeat > 0}
+	if d.direct {
+		d.mod.JobArrived(d.Time(now), j.given)
+	}
 	return id, nil
 }
 
@@ -452,14 +476,14 @@
 }
 
 // left tells the module that nothing more is owed, and ends a stream that nobody reads.
-func (d *Dispatcher) left(now loop.Nanos, j *job) {
+func (d *Dispatcher) left(now loop.Nanos, j *Job) {
 	if j.atDoor {
 		j.atDoor = false
 		d.queue.Cancel(now, door.JobID(j.ID))
 		d.settle(j)
 		return
 	}
-	d.mod.ClientLeft(d.time(now), j.ID)
+	d.mod.ClientLeft(d.Time(now), j.ID)
 	if j.begun > 0 {
 		d.ended(now, j, policy.Recalled, true, policy.NoLoad)
 	}
@@ -469,30 +493,30 @@
 // Room lets an engine go on that was held back for its client.
 func (d *Dispatcher) Room(now loop.Nanos, id policy.JobID) {
 	j := d.jobs.Find(id)
-	if j == nil || j.waits == 0 || j.stream == nil {
+	if j == nil || j.waits == 0 || j.sent == nil {
 		return
 	}
-	j.stream.Credit(j.waits)
+	n := j.waits
 	j.waits, j.last = 0, now
-	j.on.touch()
+	j.sent.Credit(n)
 	d.l.Again()
 }
 
 // answer gives a job its final answer, if it has none yet.
-func (d *Dispatcher) answer(j *job, give func(), count *uint64) {
+func (d *Dispatcher) answer(j *Job, give func(), count *uint64) {
 	if err := j.Answer(); err != nil {
 		d.Counts.Guarded++
 		d.log.Error("decision refused", "job", j.ID, "err", err)
 		return
 	}
 	give()
-	j.call = front.Call{}
+	j.call = nil
 	*count++
 	d.over(j, count == &d.Counts.Honoured)
 }
 
 // over tells the door that a job which it let in has its answer.
-func (d *Dispatcher) over(j *job, served bool) {
+func (d *Dispatcher) over(j *Job, served bool) {
 	if j.let {
 		j.let = false
 		d.queue.Over(d.l.Now(), j.ask, served, j.tokens)
@@ -503,7 +527,7 @@
 }
 
 // settle frees the place of a job for which nothing is owed, out or held.
-func (d *Dispatcher) settle(j *job) {
+func (d *Dispatcher) settle(j *Job) {
 	if j.Done() {
 		d.l.Cancel(&j.timer)
 		d.jobs.Drop(j.ID)
@@ -518,7 +542,7 @@
 		d.l.At(&d.wake, now+loop.Nanos(what.For), d.onWake)
 		return
 	case policy.Watch:
-		d.lister.watch(now)
+		d.exit.Watch(now)
 		return
 	case policy.Say:
 		d.log.Info("module", "says", what.Text)
@@ -543,7 +567,8 @@
 		if d.insideAt(j.ID) >= 0 {
 			d.queue.Unplaced()
 		}
-		if what.For > 0 { // the module's advice at least; the door books a place
+		no.After = min(int64(what.For), d.advises)
+		if what.For > 0 && !d.direct { // that at least; the door books a place
 			no = d.refusal(no.Why, false, d.queue.Again(now, j.ask, loop.Nanos(what.For)))
 		}
 		d.answer(j, func() { j.call.Nack(j.ID, no) }, &d.Counts.Nacked)
@@ -552,9 +577,7 @@
 	case policy.LetGo:
 		if at, held := j.Held(); held {
 			j.LetGo()
-			if e := d.engines[at]; e != nil {
-				e.letGo(now, nil, j.ID, policy.Shot(j.Launches()-1))
-			}
+			d.exit.LetGo(now, j, at, policy.Shot(j.Launches()-1))
 		}
 	default:
 		panic(fmt.Sprintf("decision with unknown verb %d", what.Verb))
@@ -563,7 +586,7 @@
 }
 
 // launch sends a job to a host.
-func (d *Dispatcher) launch(now loop.Nanos, j *job, to policy.HostID, within int64) {
+func (d *Dispatcher) launch(now loop.Nanos, j *Job, to policy.HostID, within int64) {
 	shot, err := j.Launch()
 	if err != nil {
 		d.Counts.Guarded++
@@ -575,55 +598,29 @@
 		d.inside = slices.Delete(d.inside, i, i+1)
 		d.queue.Taken(now, j.ask)
 	}
-	j.host, j.sent, j.within, j.on, j.stream = to, now, within, nil, nil
-	e := d.engines[to]
-	if e == nil {
-		d.ended(now, j, policy.NotSent, false, policy.NoLoad)
-		return
-	}
-	j.reads = e.role == policy.Reader
-	j.ran = j.ran || !j.reads
-	d.l.At(&j.timer, now+within, j.onTimer)
-	k := e.linkFor(now)
-	if k != nil && k.ready && j.waited && !e.trial.May(e.wired()) { // once is enough: its time is the client's
-		k = nil
+	j.Host, j.Sent, j.Within, j.sent = to, now, within, nil
+	known := false
+	if j.Reads, known = d.exit.Reads(to); known {
+		j.ran = j.ran || !j.Reads
+		d.l.At(&j.timer, now+within, j.onTimer)
+		j.sent = d.exit.Launch(now, j, shot)
 	}
-	if k == nil {
+	if j.sent == nil {
 		d.ended(now, j, policy.NotSent, false, policy.NoLoad)
-		return
-	}
-	j.on = k
-	k.out++
-	k.used, k.sent = now, now
-	if k.out == 1 && k.ready && k.asked <= k.heard {
-		d.l.At(&k.timer, d.keeper.Begin(now), k.onKeep)
-	}
-	if k.ready && e.trial.May(e.wired()) {
-		k.send(now, j, shot)
-		return
 	}
-	k.queue = append(k.queue, j.ID)
-	if k.ready {
-		j.wait(now)
-	}
-}
-
-// wait has a launch wait for its engine's trial: not for long, as what it is to fetch is held meanwhile.
-func (j *job) wait(now loop.Nanos) {
-	j.waited = true
-	j.d.l.At(&j.timer, min(j.sent+j.within, now+j.d.keeper.Hold()), j.onTimer)
 }
 
 // due is the timer of a job: its launch's time, or, once the answer streams, the time to look at it.
-func (j *job) due(now loop.Nanos) {
+func (j *Job) due(now loop.Nanos) {
 	d := j.d
 	if j.begun == 0 {
 		if _, out := j.Out(); out {
 			d.Counts.Late++
 			how := policy.Late
-			if j.stream == nil && j.on != nil && j.on.ready { // others stood before it
+			switch j.sent.Stage() {
+			case Queued: // others stood before it
 				how = policy.NotSent
-			} else if j.stream == nil { // its connection was never made
+			case Connecting:
 				how = policy.Unreachable
 			}
 			d.ended(now, j, how, false, policy.NoLoad)
@@ -635,7 +632,7 @@
 }
 
 // watchStream has the pace of a running answer judged.
-func (d *Dispatcher) watchStream(now loop.Nanos, j *job) {
+func (d *Dispatcher) watchStream(now loop.Nanos, j *Job) {
 	t := &d.times[j.track]
 	verdict, again := pace.Judge(now, pace.Stream{Begun: j.begun, Last: j.last, Gap: t.gap, Expected: t.expected,
 		Ends: j.ends, Ahead: d.ahead, Unread: j.waits > 0})
@@ -657,61 +654,53 @@
 // ---- How launches go.
 
 // began tells of the first token.
-func (d *Dispatcher) began(now loop.Nanos, j *job) {
+func (d *Dispatcher) began(now loop.Nanos, j *Job) {
 	shot, _ := j.Out()
 	j.begun, j.last = now, now
 	if j.let {
 		d.queue.First(now, j.ask, now-j.arrived)
 	}
 	j.LetGo()
-	d.mod.StreamBegan(d.time(now), j.ID, shot, policy.Nanos(now-j.sent))
+	d.mod.StreamBegan(d.Time(now), j.ID, shot, policy.Nanos(now-j.Sent))
 	d.watchStream(now, j)
 }
 
 // ended tells how the launch that is out has ended; where the engine has not ended it, its stream is reset
 // first, so that it is no longer out. The job may be over by this.
-func (d *Dispatcher) ended(now loop.Nanos, j *job, how policy.Outcome, over bool, load policy.Load) {
+func (d *Dispatcher) ended(now loop.Nanos, j *Job, how policy.Outcome, over bool, load policy.Load) {
 	shot, out := j.Out()
 	if !out {
 		return
 	}
-	if j.stream != nil {
-		j.stream.Ref = 0
-		j.stream.Reset(http2.ErrCodeCancel)
-	}
 	d.l.Cancel(&j.timer)
-	k := j.on
-	if k != nil {
-		k.out--
-		if j.wired {
-			k.wired--
-		}
-		k.used = now
-		k.touch()
-	}
-	j.wired = false
+	sent := j.sent
+	cut := sent != nil && sent.End(now)
 	// A read that was cut off may have ended all the same: what it left is let go.
-	on := j.on
-	cut := j.reads && (j.stream != nil || how == policy.Broken || how == policy.Late)
-	j.on, j.stream, j.waits = nil, nil, 0
+	cut = j.Reads && (cut || how == policy.Broken || how == policy.Late)
+	j.sent, j.waits = nil, 0
 	j.End(shot)
 	switch how {
 	case policy.Read:
-		j.Hold(j.host)
+		j.Hold(j.Host)
 	case policy.Broken:
 		d.Counts.Broken++
 	}
-	if e := d.engines[j.host]; cut && e != nil {
-		e.letGo(now, on, j.ID, shot)
+	if cut {
+		d.exit.LetGo(now, j, j.Host, shot)
 	}
-	d.mod.LaunchEnded(d.time(now), j.ID, shot, how, policy.Nanos(now-j.sent), over || j.Answered(), load)
-	if k != nil && len(k.queue) > 0 {
-		k.e.pump(now)
+	d.mod.LaunchEnded(d.Time(now), j.ID, shot, how, policy.Nanos(now-j.Sent), over || j.Answered(), load)
+	if sent != nil {
+		sent.Over(now)
 	}
 }
 
 // Door gives what the clients' door counted.
-func (d *Dispatcher) Door() front.Counts { return d.clients.Count() }
+func (d *Dispatcher) Door() grpc.Counts {
+	if d.rpc == nil {
+		return grpc.Counts{}
+	}
+	return d.rpc.Count()
+}
 
 // Known tells that a list of engines is known.
 func (d *Dispatcher) Known() bool { return d.gate.Known }
@@ -762,7 +751,7 @@
 	Background, BackgroundOut       int     // waiting and at hand
 	Spare                           float64 // so many may be at hand
 	Counts                          Counts
-	Door                            front.Counts
+	Door                            grpc.Counts
 	Tenants                         []TenantView // in the settings' order; one without a name where they name none
 }
 
@@ -770,7 +759,7 @@
 func (d *Dispatcher) View() View {
 	v := View{InHand: d.jobs.Len(), Clients: d.clients.Conns(), Waiting: d.queue.Waiting(), Flows: d.queue.Flows(), Counts: d.Counts,
 		Background: d.queue.Background(), BackgroundOut: d.queue.Spare.Out(), Spare: d.queue.Spare.Allowance(),
-		Door: d.clients.Count()}
+		Door: d.Door()}
 	for i, t := range d.terms {
 		w, r := d.queue.Tenant(i)
 		v.Tenants = append(v.Tenants, TenantView{Name: d.names[i], Weight: t.Weight, Waiting: w, Running: r, Counts: d.queue.Counts(i)})
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -15,6 +15,7 @@
 	"docksail/internal/decide/links"
 	"docksail/internal/h2"
 	"docksail/internal/loop"
+	"docksail/internal/state/fleet"
 	"docksail/policy"
 )
 
@@ -28,9 +29,132 @@
 	linkOutput = 32 << 20  // at which a connection to an engine that takes nothing is given up
 )
 
+// engines is the way out to engines that speak gRPC.
+type engines struct {
+	d       *Dispatcher
+	by      map[policy.HostID]*engine
+	list    *fleet.List
+	lister  lister
+	keeper  links.Keeper
+	connect int64
+	lim     h2.Limits
+	dirty   []*link
+	facts   []links.Link
+	scratch []byte
+}
+
+func (x *engines) Start(loop.Nanos)     { x.lister.start() }
+func (x *engines) Watch(now loop.Nanos) { x.lister.watch(now) }
+func (x *engines) Close()               { x.lister.close() }
+
+func (x *engines) Reads(host policy.HostID) (reads, known bool) {
+	e := x.by[host]
+	return e != nil && e.role == policy.Reader, e != nil
+}
+
+func (x *engines) Flush() {
+	for _, k := range x.dirty {
+		k.dirty = false
+		k.flush()
+	}
+	x.dirty = x.dirty[:0]
+}
+
+func (x *engines) LetGo(now loop.Nanos, j *Job, at policy.HostID, shot policy.Shot) {
+	if e := x.by[at]; e != nil {
+		on := j.rpc.last // the launch's own keeps the order
+		if on != nil && on.e != e {
+			on = nil
+		}
+		e.letGo(now, on, j.ID, shot)
+	}
+}
+
+func (x *engines) Launch(now loop.Nanos, j *Job, shot policy.Shot) Sent {
+	e := x.by[j.Host]
+	k := e.linkFor(now)
+	if k != nil && k.ready && j.rpc.waited && !e.trial.May(e.wired()) { // once is enough: its time is the client's
+		k = nil
+	}
+	if k == nil {
+		return nil
+	}
+	j.rpc.on, j.rpc.last = k, nil
+	k.out++
+	k.used, k.sent = now, now
+	if k.out == 1 && k.ready && k.asked <= k.heard {
+		x.d.l.At(&k.timer, x.keeper.Begin(now), k.onKeep)
+	}
+	if k.ready && e.trial.May(e.wired()) {
+		k.send(now, j, shot)
+		return &j.rpc
+	}
+	k.queue = append(k.queue, j.ID)
+	if k.ready {
+		j.rpc.wait(now)
+	}
+	return &j.rpc
+}
+
+// sending is a launch that is out to an engine.
+type sending struct {
+	j      *Job
+	on     *link      // nil: none is out
+	last   *link      // where the last one was
+	stream *h2.Stream // nil while its connection is under way
+	wired  bool       // it was sent
+	waited bool       // one of the job's launches has waited for an engine's trial
+}
+
+// wait has a launch wait for its engine's trial: not for long, as what it is to fetch is held meanwhile.
+func (s *sending) wait(now loop.Nanos) {
+	s.waited = true
+	s.j.d.l.At(&s.j.timer, min(s.j.Sent+s.j.Within, now+s.on.e.x.keeper.Hold()), s.j.onTimer)
+}
+
+func (s *sending) End(now loop.Nanos) bool {
+	k, cut := s.on, s.stream != nil
+	if cut {
+		s.stream.Ref = 0
+		s.stream.Reset(http2.ErrCodeCancel)
+	}
+	k.out--
+	if s.wired {
+		k.wired--
+	}
+	k.used = now
+	k.touch()
+	s.on, s.last, s.stream, s.wired = nil, k, nil, false
+	return cut
+}
+
+func (s *sending) Over(now loop.Nanos) {
+	if k := s.last; k != nil && len(k.queue) > 0 {
+		k.e.pump(now)
+	}
+}
+
+func (s *sending) Credit(n int) {
+	if s.stream != nil {
+		s.stream.Credit(n)
+		s.on.touch()
+	}
+}
+
+func (s *sending) Stage() Stage {
+	switch {
+	case s.stream != nil:
+		return Wired
+	case s.on.ready:
+		return Queued
+	}
+	return Connecting
+}
+
 // engine is a host of the list and the connections to it.
 type engine struct {
 	d     *Dispatcher
+	x     *engines
 	id    policy.HostID
 	addr  netip.AddrPort
 	name  string // its address, as :authority has it
@@ -57,7 +181,7 @@
 			id := k.queue[0]
 			k.queue = k.queue[1:]
 			j := k.d.jobs.Find(id)
-			if j == nil || j.on != k || j.stream != nil {
+			if j == nil || j.rpc.on != k || j.rpc.stream != nil {
 				continue
 			}
 			shot, out := j.Out()
@@ -76,11 +200,11 @@
 // linkFor gives the connection for a launch; nil if there may be none.
 func (e *engine) linkFor(now loop.Nanos) *link {
 	d := e.d
-	d.facts = d.facts[:0]
+	e.x.facts = e.x.facts[:0]
 	for _, k := range e.links {
-		d.facts = append(d.facts, k.facts())
+		e.x.facts = append(e.x.facts, k.facts())
 	}
-	i, dial, none := links.Pick(d.facts)
+	i, dial, none := links.Pick(e.x.facts)
 	switch {
 	case none:
 		return nil
@@ -89,15 +213,15 @@
 	}
 	k := &link{d: d, e: e, heard: now, used: now}
 	k.onKeep = k.keep
-	k.h = h2.NewClient(d.lim, k)
-	lc, err := d.l.Dial(e.addr, d.connect, k)
+	k.h = h2.NewClient(e.x.lim, k)
+	lc, err := d.l.Dial(e.addr, e.x.connect, k)
 	if err != nil {
 		d.log.Warn("engine", "host", e.id, "err", err)
 		return nil
 	}
 	k.lc = lc
 	lc.Bound(linkOutput)
-	if len(e.links) == 0 && (e.lost || d.lister.lost()) { // what was known of it may be over
+	if len(e.links) == 0 && (e.lost || e.x.lister.lost()) { // what was known of it may be over
 		e.trial.Lost()
 	}
 	e.links = append(e.links, k)
@@ -148,7 +272,7 @@
 		queue := k.queue
 		k.queue = nil
 		for _, id := range queue {
-			if j := e.d.jobs.Find(id); j != nil && j.on == k && j.stream == nil {
+			if j := e.d.jobs.Find(id); j != nil && j.rpc.on == k && j.rpc.stream == nil {
 				e.d.ended(now, j, policy.NotSent, false, policy.NoLoad)
 				e.d.settle(j)
 			}
@@ -188,7 +312,7 @@
 func (k *link) touch() {
 	if !k.dirty && !k.gone {
 		k.dirty = true
-		k.d.dirty = append(k.d.dirty, k)
+		k.e.x.dirty = append(k.e.x.dirty, k)
 	}
 }
 
@@ -211,7 +335,7 @@
 	if k.gone {
 		return
 	}
-	verdict, again := k.d.keeper.Judge(now, k.facts())
+	verdict, again := k.e.x.keeper.Judge(now, k.facts())
 	switch verdict {
 	case links.Ask:
 		k.d.Counts.Pings++
@@ -238,8 +362,8 @@
 	k.now, k.ready, k.heard = now, true, now
 	k.e.pump(now)
 	for _, id := range k.queue {
-		if j := k.d.jobs.Find(id); j != nil && j.on == k && j.stream == nil {
-			j.wait(now)
+		if j := k.d.jobs.Find(id); j != nil && j.rpc.on == k && j.rpc.stream == nil {
+			j.rpc.wait(now)
 		}
 	}
 	for _, o := range k.e.owed {
@@ -249,7 +373,7 @@
 	}
 	k.e.owed = k.e.owed[:0]
 	k.touch()
-	k.d.l.At(&k.timer, now+k.d.keeper.Expected, k.onKeep)
+	k.d.l.At(&k.timer, now+k.e.x.keeper.Expected, k.onKeep)
 }
 
 func (k *link) Data(now loop.Nanos, p []byte) {
@@ -285,7 +409,7 @@
 	queue := k.queue
 	k.queue = nil
 	for _, id := range queue { // none of them was sent
-		if j := d.jobs.Find(id); j != nil && j.on == k && j.stream == nil {
+		if j := d.jobs.Find(id); j != nil && j.rpc.on == k && j.rpc.stream == nil {
 			d.ended(now, j, policy.Unreachable, false, policy.NoLoad)
 			d.settle(j)
 		}
@@ -297,22 +421,22 @@
 // ---- What is sent.
 
 // send opens the stream of a launch.
-func (k *link) send(now loop.Nanos, j *job, shot policy.Shot) {
-	d := k.d
+func (k *link) send(now loop.Nanos, j *Job, shot policy.Shot) {
+	d, x := k.d, k.e.x
 	path, timeout := pathWrite, int64(0)
-	if j.reads {
-		path, timeout = pathRead, max(j.within-(now-j.sent), 1)
+	if j.Reads {
+		path, timeout = pathRead, max(j.Within-(now-j.Sent), 1)
 	}
 	extra := [3]hpack.HeaderField{
 		{Name: "docksail-job", Value: d.name(j.ID), Sensitive: true},
 		{Name: "docksail-shot", Value: strconv.Itoa(int(shot))}}
 	n := 2
-	if j.trace != "" {
-		extra[2] = hpack.HeaderField{Name: "traceparent", Value: j.trace, Sensitive: true}
+	if j.Trace != "" {
+		extra[2] = hpack.HeaderField{Name: "traceparent", Value: j.Trace, Sensitive: true}
 		n = 3
 	}
 	s := k.h.OpenStream(path, k.e.name, timeout, extra[:n]...)
-	b := d.scratch[:0]
+	b := x.scratch[:0]
 	b = protowire.AppendTag(b, 1, protowire.VarintType)
 	b = protowire.AppendVarint(b, d.life)
 	b = protowire.AppendTag(b, 2, protowire.VarintType)
@@ -320,24 +444,24 @@
 	b = protowire.AppendTag(b, 3, protowire.VarintType)
 	b = protowire.AppendVarint(b, uint64(shot))
 	b = protowire.AppendTag(b, 4, protowire.BytesType)
-	b = protowire.AppendBytes(b, j.raw)
-	if at, held := j.Held(); held && !j.reads {
-		if e := d.engines[at]; e != nil {
+	b = protowire.AppendBytes(b, j.Raw)
+	if at, held := j.Held(); held && !j.Reads {
+		if e := k.e.x.by[at]; e != nil {
 			b = protowire.AppendTag(b, 5, protowire.BytesType)
 			b = protowire.AppendString(b, e.name)
 		}
 	}
 	b = protowire.AppendTag(b, 6, protowire.VarintType)
-	b = protowire.AppendVarint(b, uint64(max(j.within-(now-j.sent), 1)))
-	if j.repeat > 0 {
+	b = protowire.AppendVarint(b, uint64(max(j.Within-(now-j.Sent), 1)))
+	if j.Repeat > 0 {
 		b = protowire.AppendTag(b, 7, protowire.VarintType)
-		b = protowire.AppendVarint(b, uint64(j.repeat))
+		b = protowire.AppendVarint(b, uint64(j.Repeat))
 	}
-	d.scratch = b
+	x.scratch = b
 	s.Ref = uint64(j.ID)
 	s.Send(b, true)
-	j.stream, j.wired = s, true
-	d.l.At(&j.timer, max(j.sent+j.within, now+1), j.onTimer)
+	j.rpc.stream, j.rpc.wired = s, true
+	d.l.At(&j.timer, max(j.Sent+j.Within, now+1), j.onTimer)
 	k.wired++
 	k.touch()
 }
@@ -345,15 +469,15 @@
 // sendRelease lets go of what a host holds. If it is lost with its connection it is sent again by another, as long as
 // the engine can be reached.
 func (k *link) sendRelease(id policy.JobID, shot policy.Shot) {
-	s := k.h.OpenStream(pathRelease, k.e.name, k.d.keeper.Expected)
-	b := k.d.scratch[:0]
+	s := k.h.OpenStream(pathRelease, k.e.name, k.e.x.keeper.Expected)
+	b := k.e.x.scratch[:0]
 	b = protowire.AppendTag(b, 1, protowire.VarintType)
 	b = protowire.AppendVarint(b, k.d.life)
 	b = protowire.AppendTag(b, 2, protowire.VarintType)
 	b = protowire.AppendVarint(b, uint64(id))
 	b = protowire.AppendTag(b, 3, protowire.VarintType)
 	b = protowire.AppendVarint(b, uint64(shot))
-	k.d.scratch = b
+	k.e.x.scratch = b
 	s.Tag = owed{id, shot}
 	s.Send(b, true)
 	k.touch()
@@ -362,11 +486,11 @@
 // ---- What HTTP/2 tells.
 
 // job of a stream, if the stream is still its launch.
-func (k *link) job(s *h2.Stream) *job {
+func (k *link) job(s *h2.Stream) *Job {
 	if s.Ref == 0 {
 		return nil
 	}
-	if j := k.d.jobs.Find(policy.JobID(s.Ref)); j != nil && j.stream == s {
+	if j := k.d.jobs.Find(policy.JobID(s.Ref)); j != nil && j.rpc.stream == s {
 		return j
 	}
 	return nil
@@ -377,27 +501,14 @@
 func (k *link) Message(s *h2.Stream, p []byte) bool {
 	k.asks = 0
 	j := k.job(s)
-	if j == nil || j.reads {
+	if j == nil || j.Reads {
 		return false
 	}
-	if j.Answered() { // its client was gone as this came: nobody reads it
-		k.d.ended(k.now, j, policy.Recalled, true, policy.NoLoad)
-		k.d.settle(j)
-		return false
-	}
-	if j.begun == 0 {
+	if !j.Answered() && !j.Begun() {
 		k.e.trial.Heard()
 		k.e.pump(k.now)
-		k.d.began(k.now, j)
-	}
-	j.last = k.now
-	j.tokens++
-	k.d.Counts.Tokens++
-	if !j.call.Tokens(j.ID, p) {
-		return false
 	}
-	j.waits += len(p) + 5
-	return true
+	return k.d.Tokens(k.now, j, p, len(p)+5)
 }
 
 func (k *link) HalfClosed(*h2.Stream) {}
@@ -408,27 +519,18 @@
 	if j == nil {
 		return
 	}
-	d := k.d
 	s.Ref = 0
-	j.stream = nil // it is over by itself
-	load := d.load(trailer)
-	read, begun := j.reads, j.begun > 0
+	j.rpc.stream = nil // it is over by itself
 	_, held := j.Held()
 	how := policy.Failed
 	switch {
-	case code == codes.OK && read:
+	case code == codes.OK && j.Reads:
 		how = policy.Read
 		k.e.trial.Heard()
 	case code == codes.OK:
 		how = policy.Honoured
-		if !j.Answered() {
-			d.answer(j, func() { j.call.Honour(j.ID) }, &d.Counts.Honoured)
-		}
-	case begun:
+	case j.Begun():
 		how = policy.Broken
-		if !j.Answered() {
-			d.answer(j, func() { j.call.Abandon(j.ID, "the stream broke: "+code.String()) }, &d.Counts.Abandoned)
-		}
 	case code == codes.ResourceExhausted:
 		how = policy.Turned
 	case code == codes.FailedPrecondition && held:
@@ -436,8 +538,7 @@
 	case code == codes.DeadlineExceeded:
 		how = policy.Late
 	}
-	d.ended(k.now, j, how, how == policy.Honoured || begun, load)
-	d.settle(j)
+	k.d.Finish(k.now, j, how, ": "+code.String(), k.e.x.load(trailer))
 	k.touch()
 }
 
@@ -451,19 +552,13 @@
 	if j == nil {
 		return
 	}
-	d := k.d
 	s.Ref = 0
-	j.stream = nil
+	j.rpc.stream = nil
 	how := policy.Broken
 	if refused { // nothing was done for it
 		how = policy.Turned
 	}
-	begun := j.begun > 0
-	if begun && !j.Answered() {
-		d.answer(j, func() { j.call.Abandon(j.ID, "the stream broke") }, &d.Counts.Abandoned)
-	}
-	d.ended(k.now, j, how, begun, policy.NoLoad)
-	d.settle(j)
+	k.d.Finish(k.now, j, how, "", policy.NoLoad)
 }
 
 func (k *link) Room(*h2.Stream) {}
@@ -474,7 +569,7 @@
 func (k *link) Pong() {}
 
 // load reads an ORCA report from a trailer; one that is too old counts as none.
-func (d *Dispatcher) load(trailer *h2.Header) policy.Load {
+func (x *engines) load(trailer *h2.Header) policy.Load {
 	text := trailer.Get("endpoint-load-metrics-bin")
 	if text == "" {
 		return policy.NoLoad
@@ -487,7 +582,7 @@
 	if proto.Unmarshal(b, &r) != nil {
 		return policy.NoLoad
 	}
-	d.Counts.Reports++
+	x.d.Counts.Reports++
 	load := policy.NoLoad
 	if r.MemUtilization > 0 {
 		load.Memory = r.MemUtilization
@@ -498,8 +593,8 @@
 	if v, ok := r.NamedMetrics["unread_tokens"]; ok {
 		load.Unread = v
 	}
-	if age, ok := r.NamedMetrics["age_ms"]; ok && !d.keeper.Fresh(int64(age*1e6)) {
-		d.Counts.LateReports++
+	if age, ok := r.NamedMetrics["age_ms"]; ok && !x.keeper.Fresh(int64(age*1e6)) {
+		x.d.Counts.LateReports++
 		return policy.NoLoad
 	}
 	return load
--- a/internal/dispatch/lister.go
+++ b/internal/dispatch/lister.go
@@ -22,6 +22,7 @@
 // lister follows the list of engines: a watch on a lister, or a file.
 type lister struct {
 	d      *Dispatcher
+	x      *engines
 	addr   netip.AddrPort
 	file   string
 	keepAt string // file that keeps the list for the next start
@@ -38,16 +39,16 @@
 	keeps  chan []byte
 }
 
-func (w *lister) init(d *Dispatcher, s setup.Fleet) {
-	*w = lister{d: d, addr: s.Watch, file: s.File, keepAt: s.Keep, every: int64(s.Retry) / 8}
+func (w *lister) init(x *engines, s setup.Fleet) {
+	*w = lister{d: x.d, x: x, addr: s.Watch, file: s.File, keepAt: s.Keep, every: int64(s.Retry) / 8}
 }
 
 func (w *lister) start() {
 	if w.keepAt != "" {
-		told, err := w.d.list.Load(w.keepAt)
+		told, err := w.x.list.Load(w.keepAt)
 		switch {
 		case err == nil:
-			w.d.log.Info("list of engines as it was kept", "hosts", len(told), "version", w.d.list.Version())
+			w.d.log.Info("list of engines as it was kept", "hosts", len(told), "version", w.x.list.Version())
 			w.tell(w.d.l.Now(), true, told)
 		case !errors.Is(err, os.ErrNotExist):
 			w.d.log.Warn("kept list of engines not used", "err", err)
@@ -75,7 +76,7 @@
 	if w.keeps == nil {
 		return
 	}
-	b := w.d.list.Encode()
+	b := w.x.list.Encode()
 	select {
 	case w.keeps <- b:
 	default:
@@ -94,14 +95,18 @@
 func (w *lister) tell(now loop.Nanos, full bool, told []fleet.Host) {
 	d := w.d
 	if full {
-		told = d.list.Hosts() // the module forgets what a full list does not name
+		told = w.x.list.Hosts() // the module forgets what a full list does not name
 	}
-	d.mod.ListBegin(full)
+	d.Listed(now, full, len(told) > 0, func(mod Module) { w.hosts(now, mod, told) })
+}
+
+func (w *lister) hosts(now loop.Nanos, mod Module, told []fleet.Host) {
+	d := w.d
 	for _, h := range told {
-		e := d.engines[h.ID]
+		e := w.x.by[h.ID]
 		if e == nil {
-			e = &engine{d: d, id: h.ID}
-			d.engines[h.ID] = e
+			e = &engine{d: d, x: w.x, id: h.ID}
+			w.x.by[h.ID] = e
 		}
 		e.role = h.Role
 		if e.addr != h.Address {
@@ -116,17 +121,15 @@
 		e.trial.Listed()
 		started := policy.Nanos(0)
 		if h.Started > 0 {
-			started = min(policy.Nanos(h.Started), d.time(now)) // a clock ahead of ours
+			started = min(policy.Nanos(h.Started), d.Time(now)) // a clock ahead of ours
 		}
-		d.mod.HostListed(h.ID, d.list.Zone(h.Zone), policy.KindID(h.Role), d.list.Cell(h.Zone, h.Cell), h.Health, started)
+		mod.HostListed(h.ID, w.x.list.Zone(h.Zone), policy.KindID(h.Role), w.x.list.Cell(h.Zone, h.Cell), h.Health, started)
 		d.log.Info("host", "id", h.ID, "at", h.Address, "role", int(h.Role), "health", int(h.Health))
 	}
-	d.mod.ListEnd(d.time(now))
-	d.gate.Known = d.gate.Known || len(told) > 0
 }
 
 func (w *lister) take(now loop.Nanos, version uint64, full bool, hosts []fleet.Host) error {
-	told, err := w.d.list.Take(version, full, hosts)
+	told, err := w.x.list.Take(version, full, hosts)
 	if err != nil {
 		return err
 	}
@@ -142,11 +145,11 @@
 	if w.file != "" || w.lc != nil {
 		return
 	}
-	w.h = h2.NewClient(w.d.lim, w)
-	lc, err := w.d.l.Dial(w.addr, w.d.connect, w)
+	w.h = h2.NewClient(w.x.lim, w)
+	lc, err := w.d.l.Dial(w.addr, w.x.connect, w)
 	if err != nil {
 		w.d.log.Warn("lister", "err", err)
-		w.d.mod.ListFailed(w.d.time(now))
+		w.d.ListLost(now)
 		return
 	}
 	w.lc = lc
@@ -206,7 +209,7 @@
 		w.d.log.Warn("lister lost", "err", err)
 	}
 	w.lc, w.h, w.open = nil, nil, false
-	w.d.mod.ListFailed(w.d.time(now))
+	w.d.ListLost(now)
 }
 
 func (w *lister) Headers(*h2.Stream, *h2.Header) {}
@@ -279,7 +282,7 @@
 				w.d.log.Warn("list of engines not read", "err", err)
 			case at != w.stamp:
 				w.stamp = at
-				if err := w.take(w.d.l.Now(), w.d.list.Version()+1, true, hosts); err != nil {
+				if err := w.take(w.d.l.Now(), w.x.list.Version()+1, true, hosts); err != nil {
 					w.d.log.Warn("list of engines not taken", "file", name, "err", err)
 				}
 			}
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -48,7 +48,7 @@
 		defer close(r.done)
 		r.err = l.Run(d.Round)
 		l.Close()
-		d.lister.close()
+		d.exit.Close()
 	}()
 	return r, nil
 }
--- a/internal/front/grpc/grpc.go
+++ b/internal/front/grpc/grpc.go
@@ -21,37 +21,12 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"docksail/internal/decide/crowd"
+	"docksail/internal/front"
 	"docksail/internal/h2"
 	"docksail/internal/loop"
 	"docksail/policy"
 )
 
-// ErrBad is wrapped by the core's errors about a request that can never be taken as it is.
-var ErrBad = errors.New("request cannot be taken")
-
-// Core is what stands behind the door.
-type Core interface {
-	// Arrive hands over a job. The request's slices are valid during the call only. An error that wraps ErrBad
-	// is the caller's fault; a Refusal is a nack.
-	Arrive(now loop.Nanos, call Call, r *Request) (policy.JobID, error)
-	// Left tells that the client of a job is gone.
-	Left(now loop.Nanos, id policy.JobID)
-	// Name is a job's for the outside.
-	Name(id policy.JobID) string
-	// Room tells that all that was sent to the client has left.
-	Room(now loop.Nanos, id policy.JobID)
-}
-
-// Refusal is an error that says when to come back.
-type Refusal struct {
-	Why    string
-	After  loop.Nanos // 0 = at once, elsewhere
-	Own    bool       // a limit of the caller's own was met
-	Ticket []byte     // to be brought back then; nil = none
-}
-
-func (r Refusal) Error() string { return r.Why }
-
 const (
 	busyOutput  = 256 << 10 // bytes queued for a socket from which on messages wait in their streams
 	greetWithin = int64(10 * time.Second)
@@ -61,7 +36,7 @@
 // Server accepts clients on a loop.
 type Server struct {
 	l       *loop.Loop
-	core    Core
+	core    front.Core
 	lim     h2.Limits
 	crowd   *crowd.Crowd
 	budget  *h2.Budget
@@ -70,7 +45,7 @@
 	dirty   []*conn
 	ln      *loop.Listener
 	leaving bool
-	req     Request
+	req     front.Request
 	Counts  Counts
 }
 
@@ -83,7 +58,7 @@
 
 // New makes a door; it opens with Listen. partial bounds the bytes of messages that have come in part, over all
 // connections.
-func New(l *loop.Loop, core Core, lim h2.Limits, connections, output, partial int) (*Server, error) {
+func New(l *loop.Loop, core front.Core, lim h2.Limits, connections, output, partial int) (*Server, error) {
 	c, err := crowd.New(connections)
 	if err != nil {
 		return nil, err
@@ -274,6 +249,7 @@
 
 // waiting is a call whose message has not come yet.
 type waiting struct {
+	call            Call
 	timeout, repeat int64
 	came            loop.Nanos
 	trace           string
@@ -292,7 +268,7 @@
 		tag.message(c, s, p)
 	case *waiting:
 		r := &c.s.req
-		if err := r.decode(p); err != nil {
+		if err := decode(r, p); err != nil {
 			c.bad(s, err)
 			return false
 		}
@@ -302,13 +278,14 @@
 		}
 		s.Tag = nil
 		c.s.Counts.Calls++
-		id, err := c.s.core.Arrive(c.now, Call{c, s}, r)
-		var no Refusal
+		tag.call = Call{c, s}
+		id, err := c.s.core.Arrive(c.now, &tag.call, r)
+		var no front.Refusal
 		switch {
 		case err == nil:
 			s.Ref = uint64(id)
 		case errors.As(err, &no):
-			Call{c, s}.Nack(0, no)
+			tag.call.Nack(0, no)
 		default:
 			c.bad(s, err)
 		}
@@ -346,12 +323,9 @@
 	s *h2.Stream
 }
 
-// Valid tells that there is a client.
-func (a Call) Valid() bool { return a.s != nil }
-
 // Tokens relays one message. True says that it waits for the client: the engine is to be held back until the
 // core's Room.
-func (a Call) Tokens(id policy.JobID, p []byte) (waits bool) {
+func (a *Call) Tokens(id policy.JobID, p []byte) (waits bool) {
 	if !a.s.Headed() {
 		a.s.SendHeaders(hpack.HeaderField{Name: "docksail-job", Value: a.c.s.core.Name(id)})
 	}
@@ -360,20 +334,17 @@
 	return a.s.Pending() > 0
 }
 
-// Waits tells that the client has not taken all that was sent.
-func (a Call) Waits() bool { return a.s.Pending() > 0 }
-
 // Honour ends the call with OK.
-func (a Call) Honour(id policy.JobID) { a.end(id, codes.OK, "") }
+func (a *Call) Honour(id policy.JobID) { a.end(id, codes.OK, "") }
 
 // Abandon ends the call with ABORTED: nothing is promised.
-func (a Call) Abandon(id policy.JobID, why string) {
+func (a *Call) Abandon(id policy.JobID, why string) {
 	a.end(id, codes.Aborted, "abandoned: "+why, hpack.HeaderField{Name: "grpc-retry-pushback-ms", Value: "-1"})
 }
 
 // Nack ends the call with UNAVAILABLE, or RESOURCE_EXHAUSTED where a limit of the caller's own was met: trying again
 // is harmless, best after so many nanoseconds.
-func (a Call) Nack(id policy.JobID, no Refusal) {
+func (a *Call) Nack(id policy.JobID, no front.Refusal) {
 	ms := (no.After + 1e6 - 1) / 1e6
 	why, code := "nacked: "+no.Why, codes.Unavailable
 	if no.Own {
@@ -392,7 +363,7 @@
 	backgroundHeader = "docksail-background" // any value: the job fills what is idle and yields to all others
 )
 
-func (a Call) end(id policy.JobID, code codes.Code, why string, extra ...hpack.HeaderField) {
+func (a *Call) end(id policy.JobID, code codes.Code, why string, extra ...hpack.HeaderField) {
 	if id != 0 && !a.s.Headed() {
 		extra = append(extra, hpack.HeaderField{Name: "docksail-job", Value: a.c.s.core.Name(id)})
 	}
--- a/internal/front/grpc/request.go
+++ b/internal/front/grpc/request.go
@@ -5,35 +5,13 @@
 	"unicode/utf8"
 
 	"google.golang.org/protobuf/encoding/protowire"
-)
-
-// Request is one GenerateRequest as it stands in the message: slices of it, without a copy. The message itself
-// is handed on to engines as it came.
-type Request struct {
-	Raw       []byte
-	Track     []byte
-	Tenant    []byte
-	Session   []byte
-	Beginning []byte
-	Label     []byte
-	Client    []byte
-	Source    [16]byte // address it comes from
-	Ticket    []byte   // as a refusal gave it; nil = none
 
-	Background bool // it fills what is idle, and yields to all others
-	Prompt     int64
-	Shared     int64
-	Most       int64
-	Patience   int64 // nanoseconds; 0 = not told
-	Hint       int64
-	Timeout    int64 // of the call, nanoseconds; 0 = none
-	Repeat     int64 // earlier tries, as the client tells
-	Trace      string
-}
+	"docksail/internal/front"
+)
 
 // decode reads a message; unknown fields are passed over, as the format wants it.
-func (r *Request) decode(p []byte) error {
-	*r = Request{Raw: p}
+func decode(r *front.Request, p []byte) error {
+	*r = front.Request{Raw: p}
 	for len(p) > 0 {
 		num, typ, n := protowire.ConsumeTag(p)
 		if n < 0 {
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -310,13 +310,7 @@
 // Module starts the decision module that the settings describe. zone numbers the dispatcher's own zone; kinds of
 // host are the roles in their order.
 func (s *Dispatcher) Module(seed uint64, zone policy.ZoneID) (*policy.Dispatcher, error) {
-	var tracks []policy.Track
-	for _, t := range s.Tracks {
-		tracks = append(tracks, policy.Track{Expected: policy.Nanos(t.Expected),
-			ExpectedPer1k: policy.Nanos(t.ExpectedPer1k), Patience: policy.Nanos(t.Patience), Payoff: t.Payoff,
-			LatePayoff: t.LatePayoff, TokenGap: policy.Nanos(t.TokenGap), Effect: policy.Effect(t.Effect),
-			Group: policy.Group(t.Group), Window: policy.Nanos(t.Window)})
-	}
+	tracks := s.PolicyTracks()
 	var tenants []policy.Tenant
 	for _, t := range s.Tenants {
 		tenants = append(tenants, policy.Tenant{PerSecond: t.PerSecond})
@@ -331,6 +325,18 @@
 		policy.Listing{Within: policy.Nanos(s.Fleet.Retry)}, policy.Nanos(s.Rules.Release))
 }
 
+// PolicyTracks gives the tracks as the decision module takes them.
+func (s *Dispatcher) PolicyTracks() []policy.Track {
+	var tracks []policy.Track
+	for _, t := range s.Tracks {
+		tracks = append(tracks, policy.Track{Expected: policy.Nanos(t.Expected),
+			ExpectedPer1k: policy.Nanos(t.ExpectedPer1k), Patience: policy.Nanos(t.Patience), Payoff: t.Payoff,
+			LatePayoff: t.LatePayoff, TokenGap: policy.Nanos(t.TokenGap), Effect: policy.Effect(t.Effect),
+			Group: policy.Group(t.Group), Window: policy.Nanos(t.Window)})
+	}
+	return tracks
+}
+
 // Decode reads any other text of this kind into the struct that v points to: fields by their tag json, those with
 // the tag need must be there. check may add errors about fields by their path.
 func Decode(name string, text []byte, v any, check func(bad func(path, format string, args ...any))) error {
