--- a/cmd/docksail/main.go
+++ b/cmd/docksail/main.go
@@ -16,7 +16,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), viewCommand(), batchCommand(), labCommand())
+	root.AddCommand(serveCommand(), nodeCommand(), checkCommand(), viewCommand(), batchCommand(), labCommand())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "docksail:", err)
 		os.Exit(1)
--- /dev/null
+++ b/cmd/docksail/node.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"docksail/internal/dispatch"
+	"docksail/internal/node"
+)
+
+func nodeCommand() *cobra.Command {
+	var level slog.Level
+	var every time.Duration
+	c := &cobra.Command{
+		Use:   "node",
+		Short: "Run a dispatcher in service on the platform",
+		Long: "Run a dispatcher in service on the platform, by the file that RELAY_CONFIG names. SIGTERM has clients go\n" +
+			"elsewhere and ends it when none is left; SIGHUP reads the file again and takes over where discovery is.",
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			t, err := node.Load(os.Getenv)
+			if err != nil {
+				return err
+			}
+			signals := make(chan os.Signal, 4)
+			signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+			node.Spare(t)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			log := slog.New(dispatch.LogBeside(ctx, slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+			n, err := node.Run(t, log)
+			if err != nil {
+				return err
+			}
+			log.Info("in service", "name", t.Name, "at", t.Listen, "memory_mb", t.Limits.Memory, "sockets", t.Limits.Sockets)
+			tick := time.NewTicker(every)
+			defer tick.Stop()
+			for {
+				select {
+				case <-tick.C:
+					if v, ok := n.View(); ok {
+						log.Info("counts", "view", v)
+					}
+				case s := <-signals:
+					if s != syscall.SIGHUP {
+						log.Info("leaving", "signal", s.String())
+						n.Leave()
+						continue
+					}
+					changed, err := node.Load(os.Getenv)
+					if err != nil {
+						log.Error("configuration stays as it was", "err", err)
+						continue
+					}
+					n.Reload(changed)
+				case <-n.Done():
+					log.Info("ended", "err", n.Err())
+					time.Sleep(10 * time.Millisecond) // the log's writer
+					return n.Err()
+				}
+			}
+		},
+	}
+	c.Flags().TextVar(&level, "log", slog.LevelInfo, "least level of log lines: debug, info, warn, error")
+	c.Flags().DurationVar(&every, "counts-every", 10*time.Second, "how often counts are logged")
+	return c
+}
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -24,6 +24,8 @@
 	// silentLeast is the same as a part of the job's expected time, where gaps are short: a writer that reads
 	// an answer anew after it ran out of memory needs about a first token's time.
 	silentLeast = 1
+	// hushMargin is the part of what a client may be left waiting that is kept for its end to arrive.
+	hushMargin = 10
 	// unreadTimes is how many silences a client may take nothing: it pays for its own time only.
 	unreadTimes = 4
 )
@@ -36,6 +38,7 @@
 	Expected int64 // expected time of its first token
 	Ends     int64 // the client's time is up; 0 = it has set none
 	Ahead    int64 // the final answer leaves so long before that
+	Hush     int64 // a client may be left waiting so long after its last token; 0 = not told
 	Unread   bool  // what came is still waiting for the client, since Last at least
 }
 
@@ -45,6 +48,9 @@
 		return TimeOut, 0
 	}
 	patience, verdict := max(silentGaps*s.Gap, silentLeast*s.Expected), Silent
+	if s.Hush > 0 { // as long as is allowed: a slow host must not be taken for a dead one
+		patience = s.Hush - s.Hush/hushMargin
+	}
 	if s.Unread {
 		patience, verdict = unreadTimes*patience, Unread
 	}
--- /dev/null
+++ b/internal/decide/peers/peers.go
@@ -0,0 +1,102 @@
+// Package peers decides about the connections of clients that carry one request at a time: how long each may stand as
+// it is, which goes when descriptors are short, and how descriptors are shared out. It does no I/O and reads no clock.
+package peers
+
+// Stage is what a connection is about.
+type Stage uint8
+
+const (
+	Silent  Stage = iota // nothing has come on it yet
+	Part                 // a request has come in part
+	Busy                 // a job of it is in hand
+	Resting              // between requests
+	Over                 // it has had its last answer: what still comes is thrown away
+)
+
+const (
+	second = int64(1e9)
+	// A client that means it sends its request with its connection; others hold a descriptor for nothing. They are to
+	// hear within 3 s of connecting.
+	beginWithin = 2 * second
+	// A request whose bytes stop coming is answered for, also within 3 s of connecting if it is the first.
+	partWithin = 5 * second / 2
+	// Large bodies that nobody wants may still come for so long after the answer, so that it is not lost to a reset.
+	discardWithin = 3 * second
+	// Clients keep connections for their next request; one that asked once and never again goes after some time.
+	restWithin = 30 * second
+	// A connection between requests may be closed after this; before, its client may be about to ask.
+	restLeast = 2 * second
+	// In a crowd a client that has said nothing for so long is taken for one that never will.
+	silentLeast = second / 4
+)
+
+// Discard is how many bytes are thrown away on a connection that is over.
+const Discard = 80 << 20
+
+// Until tells when a connection that has stood as it is since then is to be ended; 0 = never.
+func Until(stage Stage, since int64) int64 {
+	switch stage {
+	case Silent:
+		return since + beginWithin
+	case Part:
+		return since + partWithin
+	case Resting:
+		return since + restWithin
+	case Over:
+		return since + discardWithin
+	}
+	return 0
+}
+
+// Choice is what makes room for a new connection.
+type Choice uint8
+
+const (
+	Newest      Choice = iota // the new one goes
+	FirstSilent               // of those on which no whole request has come yet, the first
+	FirstResting
+)
+
+// Crowded decides who goes when there may be no more connections: silent and resting are since when the first of each
+// kind has stood so; 0 = there is none.
+func Crowded(now, silent, resting int64) Choice {
+	switch {
+	case silent > 0 && now-silent >= silentLeast:
+		return FirstSilent
+	case resting > 0 && now-resting >= restLeast:
+		return FirstResting
+	case silent > 0:
+		return FirstSilent
+	}
+	return Newest
+}
+
+const (
+	// ownShare of the descriptors, and a few, are kept for the process itself, the list of hosts and the moment in which a
+	// descriptor is between two owners.
+	ownShare = 1.0 / 32
+	ownLeast = 24
+	// clientShare of the rest is the clients': they hold a third of all for requests, and more knock.
+	clientShare = 1.0 / 2
+)
+
+// Shares tells how many connections clients and hosts may have.
+func Shares(descriptors int) (clients, hosts int) {
+	free := descriptors - ownLeast - int(ownShare*float64(descriptors))
+	clients = max(int(clientShare*float64(free)), 1)
+	return clients, max(free-clients, 1)
+}
+
+// bodyShare of the memory may be filled with requests that have come in part.
+const bodyShare = 1.0 / 16
+
+// Bodies is how many bytes of requests may be kept that have come in part.
+func Bodies(memory int64) int64 { return int64(bodyShare * float64(memory)) }
+
+const (
+	// comeWithin is for how long after a signal to leave new connections are still dealt out to us.
+	comeWithin = second / 2
+)
+
+// LeaveAfter tells when the door closes after the signal to leave.
+func LeaveAfter(now int64) int64 { return now + comeWithin }
--- /dev/null
+++ b/internal/decide/pool/pool.go
@@ -0,0 +1,72 @@
+// Package pool decides about connections to hosts that carry one request at a time: which may be used again, when an
+// unused one goes, and by which host a release is sent. It does no I/O and reads no clock.
+package pool
+
+// Keeper judges connections by the time after which hosts end those that stand idle, and by the time in which held
+// states must be let go of.
+type Keeper struct {
+	Idle    int64 // 0 = not told
+	Release int64
+}
+
+const (
+	// rest is how long a connection stands before it is used again: a second answer may follow the first, and would be
+	// taken for that of the next request.
+	rest = int64(10e6)
+	// idleShare of the hosts' own time an unused connection is kept: what is written as the host closes it is lost.
+	idleShare = 2.0 / 3
+	// releaseParts is how many hosts are tried in the time for letting go.
+	releaseParts = 10
+	// releaseMost is how many times that time a release is worth trying: what counts is the first host that it reaches.
+	releaseMost = 2
+)
+
+// Fit tells whether a connection unused since then may carry another request.
+func (k Keeper) Fit(now, since int64) bool { return now-since >= rest && now < k.Until(since) }
+
+// Until tells when a connection unused since then is closed.
+func (k Keeper) Until(since int64) int64 {
+	if k.Idle <= 0 {
+		return since + 10e9
+	}
+	return since + int64(idleShare*float64(k.Idle))
+}
+
+// Try tells how long a release waits for its answer before another host is asked.
+func (k Keeper) Try() int64 { return k.Release / releaseParts }
+
+// GiveUp tells when a release is no longer tried.
+func (k Keeper) GiveUp(begun int64) int64 { return begun + releaseMost*k.Release }
+
+// Way is what is known of a host by which a release might go.
+type Way struct {
+	Heard int64 // last sign of life; 0 = none yet
+	Ready bool  // a connection to it is fit
+	Tried bool  // this release went there in vain
+	Gone  bool
+}
+
+// Choose picks the host by which a release goes: one that has not been tried, rather with a connection, heard last; -1 if there
+// is none.
+func Choose(ways []Way) int {
+	best := -1
+	better := func(a, b Way) bool {
+		switch {
+		case a.Tried != b.Tried:
+			return !a.Tried
+		case a.Ready != b.Ready:
+			return a.Ready
+		}
+		return a.Heard > b.Heard
+	}
+	for i, w := range ways {
+		if !w.Gone && (best < 0 || better(w, ways[best])) {
+			best = i
+		}
+	}
+	return best
+}
+
+// Distrust tells that the other connections to a host are not to be used again, as one that was given up had carried a
+// request since then and nothing at all was heard from the host after it.
+func Distrust(sent, heard int64) bool { return heard <= sent }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -78,6 +78,7 @@
 	hashKey uint64
 	hash    xxhash.Digest
 	ahead   int64
+	hush    int64 // a client may be left waiting so long after its last token; 0 = not told
 	wake    loop.Timer
 	onWake  func(loop.Nanos)
 
@@ -108,6 +109,7 @@
 	call    front.Call // nil once it is answered
 	Raw     []byte     // the client's message
 	Named   []byte     // the client's name for it
+	Target  []byte     // where the client sent it
 	track   policy.TrackID
 	Repeat  uint32
 	Trace   string
@@ -195,10 +197,11 @@
 }
 
 // Direct makes a dispatcher whose jobs go to the module as they come, at most so many in hand, with the tracks that the
-// module was made with; Ends gives it its entry and exit, Start sets it going. advises is the longest advice.
-func Direct(l *loop.Loop, log *slog.Logger, mod Module, names []string, tracks []policy.Track, most int, prompt, advises int64, life uint64) (*Dispatcher, error) {
+// module was made with; Ends gives it its entry and exit, Start sets it going. advises is the longest advice;
+// hush, how long a client may be left waiting after a token.
+func Direct(l *loop.Loop, log *slog.Logger, mod Module, names []string, tracks []policy.Track, most int, prompt, advises, hush int64, life uint64) (*Dispatcher, error) {
 	d, shortest := bare(l, log, mod, names, tracks, life)
-	d.direct, d.advises = true, advises
+	d.direct, d.advises, d.hush = true, advises, hush
 	d.gate = gate.Gate{Most: most, Prompt: prompt}
 	var err error
 	d.queue, err = door.New(1, 1, shortest, nil) // nothing ever waits there
@@ -365,6 +368,16 @@
 	})
 }
 
+// LeaveIdle has the entry leave and takes jobs as before; done is called, once, when none is in hand and the entry idle.
+func (d *Dispatcher) LeaveIdle(done func()) {
+	if d.leaving {
+		return
+	}
+	d.leaving = true
+	d.leaveEnd = func() { d.leaveEnd = func() {}; done() }
+	d.clients.Leave()
+}
+
 // key hashes a name under the settings' key and its owner, the same at every dispatcher; 0 stands for no name.
 func (d *Dispatcher) key(kind byte, owner policy.TenantID, name []byte) uint64 {
 	if len(name) == 0 {
@@ -447,7 +460,8 @@
 	}
 	ask.Ticket = nil
 	d.Counts.Jobs++
-	*j = Job{Account: jobs.Account{ID: id}, call: call, Raw: append(j.Raw[:0], r.Raw...), Named: append(j.Named[:0], r.Named...), track: track,
+	*j = Job{Account: jobs.Account{ID: id}, call: call, Raw: append(j.Raw[:0], r.Raw...), Named: append(j.Named[:0], r.Named...),
+		Target: append(j.Target[:0], r.Target...), track: track,
 		Repeat: uint32(r.Repeat), Trace: r.Trace, arrived: now, timer: j.timer, onTimer: j.onTimer, d: d, ask: ask, atDoor: !d.direct}
 	j.rpc.j = j
 	if j.onTimer == nil {
@@ -635,7 +649,7 @@
 func (d *Dispatcher) watchStream(now loop.Nanos, j *Job) {
 	t := &d.times[j.track]
 	verdict, again := pace.Judge(now, pace.Stream{Begun: j.begun, Last: j.last, Gap: t.gap, Expected: t.expected,
-		Ends: j.ends, Ahead: d.ahead, Unread: j.waits > 0})
+		Ends: j.ends, Ahead: d.ahead, Hush: d.hush, Unread: j.waits > 0})
 	if verdict == pace.GoesOn {
 		d.l.At(&j.timer, again, j.onTimer)
 		return
--- a/internal/dispatch/seam.go
+++ b/internal/dispatch/seam.go
@@ -111,3 +111,14 @@
 	d.ended(now, j, policy.NotSent, true, policy.NoLoad)
 	d.settle(j)
 }
+
+// Moved tells that a launch is from now on held as s; nil: it could not be sent after all.
+func (d *Dispatcher) Moved(now loop.Nanos, j *Job, s Sent) {
+	if j.sent = s; s == nil {
+		d.ended(now, j, policy.NotSent, false, policy.NoLoad)
+		d.settle(j)
+	}
+}
+
+// TimeLeft is how long the launch that is out may still take.
+func (j *Job) TimeLeft(now loop.Nanos) int64 { return max(j.Sent+j.Within-now, 1) }
--- a/internal/simwire/settings.go
+++ b/internal/enlist/enlist.go
@@ -1,4 +1,6 @@
-package simwire
+// Package enlist makes a decision module from the settings object that the platform gives a dispatcher, in the simulator's
+// first message and in the configuration of a real one alike.
+package enlist
 
 import (
 	"encoding/json"
@@ -8,8 +10,8 @@
 	"docksail/policy"
 )
 
-// setup is the part of an instance's first message that the decisions need; unknown keys are passed over.
-type setup struct {
+// told is the part of the object that the decisions need; unknown keys are passed over.
+type told struct {
 	Family struct {
 		AimPer1k []float64 `json:"aim_us_per_1000_prompt_tokens"`
 		Release  *int64    `json:"release_ns"`
@@ -19,6 +21,8 @@
 	} `json:"family_info"`
 	Limits struct {
 		Cancel     bool  `json:"cancel"`
+		Idle       int64 `json:"conn_idle_ns"`
+		Connect    int64 `json:"connect_timeout_ns"`
 		Most       int32 `json:"max_attempts"`
 		MaxAdvice  int64 `json:"max_retry_after_ns"`
 		RetryAfter bool  `json:"retry_after"`
@@ -62,9 +66,25 @@
 		"cell": policy.GroupCell}
 )
 
-// enlist starts an instance from the wire's settings.
-func enlist(seed uint64, text []byte) (*instance, error) {
-	var s setup
+// Module is a decision module and what the host that drives it has to know beside.
+type Module struct {
+	Module *policy.Dispatcher
+	Zones  []string // names by number
+	Kinds  []string
+	Roles  []policy.Role // of the kinds
+	Tracks []string
+	Terms  []policy.Track // of the tracks
+	Tenant []string
+
+	Release policy.Nanos // nothing is held longer for a job that is over
+	Advice  policy.Nanos // longest
+	Idle    policy.Nanos // a host ends a connection that stood idle so long; 0 = not told
+	Connect policy.Nanos // a connection is made in that time or not at all; 0 = not told
+}
+
+// New makes a module from the object.
+func New(seed uint64, text []byte) (*Module, error) {
+	var s told
 	if err := json.Unmarshal(text, &s); err != nil {
 		return nil, fmt.Errorf("setup: %w", err)
 	}
@@ -74,16 +94,14 @@
 	if s.Family.Release == nil {
 		return nil, fmt.Errorf("setup: family_info.release_ns is missing")
 	}
-	in := &instance{zones: s.Zones, kinds: s.Kinds}
-	var kinds []policy.Role
+	m := &Module{Zones: s.Zones, Kinds: s.Kinds}
 	for _, name := range s.Family.Roles {
 		role, ok := roles[name]
 		if !ok {
 			return nil, fmt.Errorf("setup: unknown role %q in role_by_kind", name)
 		}
-		kinds = append(kinds, role)
+		m.Roles = append(m.Roles, role)
 	}
-	var tracks []policy.Track
 	for i, c := range s.Classes {
 		effect, ok := effects[c.Effect]
 		if !ok {
@@ -101,17 +119,17 @@
 		if i < len(s.Family.TokenGap) {
 			t.TokenGap = policy.Nanos(s.Family.TokenGap[i])
 		}
-		tracks = append(tracks, t)
-		in.tracks = append(in.tracks, c.Name)
+		m.Terms = append(m.Terms, t)
+		m.Tracks = append(m.Tracks, c.Name)
 	}
 	var tenants []policy.Tenant
 	for _, t := range s.Tenants {
 		tenants = append(tenants, policy.Tenant{PerSecond: t.Allowance})
-		in.tenants = append(in.tenants, t.Name)
+		m.Tenant = append(m.Tenant, t.Name)
 	}
 	d, err := policy.New(seed,
 		policy.Place{Number: s.Me, Count: s.Siblings, Zone: policy.ZoneID(slices.Index(s.Zones, s.Zone))},
-		tracks, tenants, kinds,
+		m.Terms, tenants, m.Roles,
 		policy.ColdStart{From: s.Rules.ColdFrom, Warm: policy.Nanos(s.Rules.Cold), Multiple: s.Rules.Multiple,
 			Window: policy.Nanos(s.Rules.Fall)},
 		policy.Launching{Most: s.Limits.Most, Recall: s.Limits.Cancel, ReadAtPens: s.Family.PensRead},
@@ -122,6 +140,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("setup: %w", err)
 	}
-	in.d = d
-	return in, nil
+	m.Module, m.Release, m.Advice = d, policy.Nanos(*s.Family.Release), policy.Nanos(s.Limits.MaxAdvice)
+	m.Idle, m.Connect = policy.Nanos(s.Limits.Idle), policy.Nanos(s.Limits.Connect)
+	return m, nil
+}
+
+// Report takes one figure of a host's load report by its name; others are passed over.
+func Report(load *policy.Load, name string, x float64) {
+	switch name {
+	case "inflight":
+		load.Requests = x
+	case "x0":
+		load.Memory = x
+	case "x1":
+		load.Unread = 1000 * x
+	}
 }
--- /dev/null
+++ b/internal/exit/platform/discovery.go
@@ -0,0 +1,304 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"docksail/internal/dispatch"
+	"docksail/internal/h1"
+	"docksail/internal/loop"
+	"docksail/policy"
+)
+
+// List is the platform's list of hosts, or changes of it.
+type List struct {
+	Version int64    `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Server `json:"servers"`
+}
+
+// Server is one line of it.
+type Server struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int64   `json:"cell"`
+	State   string  `json:"state"`
+	Started float64 `json:"started_ms"`
+}
+
+var states = map[string]policy.Health{"Ready": policy.Serving, "Terminating": policy.Draining, "Gone": policy.Gone}
+
+const (
+	beats     = int64(2e9) // an empty line comes so often while nothing changes
+	quietMost = 2 * beats  // a watch that says nothing for longer is begun anew: news counts as told 6 s after it was due
+	retry     = int64(250e6)
+	listMost  = 8 << 20 // bytes of one object
+)
+
+// discovery is the watch on the list.
+type discovery struct {
+	x       *Exit
+	addr    netip.AddrPort
+	at      *watch // the one whose news counts
+	next    *watch // one at a new address, until it speaks
+	version int64
+	timer   loop.Timer
+}
+
+func (s *discovery) init(x *Exit, addr netip.AddrPort) { *s = discovery{x: x, addr: addr, version: -1} }
+
+// watch begins to watch, if it is not done already.
+func (s *discovery) watch(now loop.Nanos) {
+	if s.at == nil {
+		s.at = s.dial(now)
+	}
+}
+
+// Discovery has the list watched at another address; the old watch goes when the new one speaks.
+func (x *Exit) Discovery(now loop.Nanos, addr netip.AddrPort) {
+	s := &x.list
+	if addr == s.addr {
+		return
+	}
+	s.addr = addr
+	if s.next != nil {
+		s.next.end()
+	}
+	s.next = s.dial(now)
+	if s.next == nil {
+		s.later(now)
+	}
+}
+
+// later tries again after a while.
+func (s *discovery) later(now loop.Nanos) {
+	s.x.l.At(&s.timer, now+retry, func(now loop.Nanos) {
+		if s.next == nil && s.at != nil && s.at.addr != s.addr {
+			if s.next = s.dial(now); s.next == nil {
+				s.later(now)
+			}
+		}
+		s.watch(now)
+	})
+}
+
+func (s *discovery) dial(now loop.Nanos) *watch {
+	w := &watch{s: s, addr: s.addr, dec: h1.NewClient(h1.Limits{Head: headMost})}
+	lc, err := s.x.l.Dial(s.addr, quietMost, w)
+	if err != nil {
+		s.x.log.Warn("discovery", "at", s.addr, "err", err)
+		s.x.d.ListLost(now)
+		s.later(now)
+		return nil
+	}
+	s.x.Counts.Watches++
+	w.lc = lc
+	return w
+}
+
+// watch is one connection to discovery.
+type watch struct {
+	s     *discovery
+	addr  netip.AddrPort
+	lc    *loop.Conn
+	dec   h1.Decoder
+	feed  h1.Feeder
+	line  []byte
+	timer loop.Timer
+	over  bool
+}
+
+func (w *watch) end() {
+	w.over = true
+	w.s.x.l.Cancel(&w.timer)
+	w.lc.Close()
+}
+
+func (w *watch) Opened(now loop.Nanos) {
+	b := []byte("GET /registry/instances?watch=1")
+	if w.s.version >= 0 {
+		b = strconv.AppendInt(append(b, "&from="...), w.s.version, 10)
+	}
+	b = append(append(append(b, " HTTP/1.1\r\nHost: "...), w.addr.String()...), "\r\n\r\n"...)
+	w.lc.Write(b)
+	w.heard(now)
+}
+
+// heard sets the time in which the next sign of life must come.
+func (w *watch) heard(now loop.Nanos) {
+	w.s.x.l.At(&w.timer, now+quietMost, func(loop.Nanos) { w.lc.Close() })
+}
+
+func (w *watch) Data(now loop.Nanos, p []byte) {
+	w.heard(now)
+	w.feed.Feed(p, func(p []byte) (n int) {
+		for !w.over {
+			piece, data, k, err := w.dec.Next(p[n:])
+			n += k
+			switch {
+			case err == nil && piece == h1.None:
+				return n
+			case err == nil && piece == h1.Start && w.dec.Head.Status == 200:
+				w.speaks(now)
+			case err == nil && piece == h1.Data:
+				err = w.lines(now, data)
+			default:
+				if err == nil {
+					err = fmt.Errorf("answer with status %d, or its end", w.dec.Head.Status)
+				}
+			}
+			if err != nil {
+				w.s.x.log.Warn("discovery", "at", w.addr, "err", err)
+				w.lc.Close()
+				return len(p)
+			}
+		}
+		return len(p)
+	})
+}
+
+// speaks makes this watch the one that counts.
+func (w *watch) speaks(loop.Nanos) {
+	s := w.s
+	if s.next == w {
+		old := s.at
+		s.at, s.next = w, nil
+		if old != nil {
+			old.end()
+		}
+		s.x.log.Info("discovery", "at", w.addr)
+	}
+}
+
+// lines takes the objects that have come whole, one a line.
+func (w *watch) lines(now loop.Nanos, data []byte) error {
+	w.line = append(w.line, data...)
+	for {
+		line, rest, ok := bytes.Cut(w.line, []byte{'\n'})
+		if !ok {
+			if len(w.line) > listMost {
+				return h1.ErrTooLarge
+			}
+			return nil
+		}
+		line = bytes.TrimSpace(line)
+		if len(line) > 0 {
+			var list List
+			if err := json.Unmarshal(line, &list); err != nil {
+				return fmt.Errorf("news %.60q: %w", line, err)
+			}
+			w.s.x.Take(now, list)
+		}
+		w.line = w.line[:copy(w.line, rest)]
+	}
+}
+
+func (w *watch) PeerDone(loop.Nanos) { w.lc.Close() }
+func (w *watch) Drained(loop.Nanos)  {}
+
+func (w *watch) Closed(now loop.Nanos, err error) {
+	s := w.s
+	s.x.l.Cancel(&w.timer)
+	if w.over {
+		return
+	}
+	w.over = true
+	s.x.log.Warn("discovery lost", "at", w.addr, "err", err)
+	switch w {
+	case s.at:
+		s.at = nil
+		if s.next != nil { // it takes over
+			s.at, s.next = s.next, nil
+		}
+	case s.next:
+		s.next = nil
+	}
+	s.later(now)
+}
+
+// Take hands news of the list on.
+func (x *Exit) Take(now loop.Nanos, list List) {
+	if !list.Full && list.Version < x.list.version {
+		return // it crossed with newer news
+	}
+	x.list.version = list.Version
+	x.Counts.News++
+	if len(list.Servers) == 0 && !list.Full {
+		return
+	}
+	named := make(map[string]bool, len(list.Servers))
+	x.d.Listed(now, list.Full, len(list.Servers) > 0, func(mod dispatch.Module) {
+		for _, e := range list.Servers {
+			named[e.ID] = true
+			if err := x.entry(now, mod, e); err != nil {
+				x.log.Warn("line of the list not taken", "err", err)
+			}
+		}
+	})
+	for _, h := range slices.Clone(x.hosts) {
+		if list.Full && !named[h.name] {
+			h.health = policy.Gone
+		}
+		if h.health != policy.Serving {
+			h.unlaunch(now)
+		}
+		if h.health == policy.Gone {
+			h.distrust()
+			x.forgetGone(h)
+		}
+	}
+}
+
+// entry takes one line.
+func (x *Exit) entry(now loop.Nanos, mod dispatch.Module, e Server) error {
+	health, ok := states[e.State]
+	zone, kind := slices.Index(x.zones, e.Zone), slices.Index(x.kinds, e.Kind)
+	h := x.byName[e.ID]
+	if health == policy.Gone {
+		if h != nil {
+			h.health = health
+			mod.HostListed(h.id, policy.ZoneID(max(zone, 0)), policy.KindID(max(kind, 0)), policy.CellID(e.Cell), health, 0)
+		}
+		return nil
+	}
+	addr, err := netip.ParseAddrPort(e.Addr)
+	switch {
+	case e.ID == "" || !ok:
+		return fmt.Errorf("host %q: state %q", e.ID, e.State)
+	case err != nil:
+		return fmt.Errorf("host %q: %w", e.ID, err)
+	case zone < 0 || kind < 0:
+		return fmt.Errorf("host %q: zone %q and kind %q: want ones of the settings", e.ID, e.Zone, e.Kind)
+	}
+	if h == nil {
+		h = &host{x: x, id: x.idOf(e.ID), name: e.ID}
+		x.hosts = append(x.hosts, h)
+		x.byName[e.ID], x.byID[h.id] = h, h
+	}
+	started := int64(e.Started * 1e6)
+	if h.addr != addr || h.started < started { // another process: nothing unused to the old one is of use
+		h.distrust()
+	}
+	h.addr, h.started, h.role, h.health = addr, max(started, h.started), x.roles[kind], health
+	mod.HostListed(h.id, policy.ZoneID(zone), policy.KindID(kind), policy.CellID(e.Cell), health,
+		min(policy.Nanos(started), x.d.Time(now)))
+	return nil
+}
+
+// forgetGone drops a host that has gone once nothing runs to it.
+func (x *Exit) forgetGone(h *host) {
+	if h.health != policy.Gone || len(h.conns) > 0 || x.byID[h.id] != h {
+		return
+	}
+	delete(x.byID, h.id)
+	delete(x.byName, h.name)
+	if i := slices.Index(x.hosts, h); i >= 0 {
+		x.hosts = slices.Delete(x.hosts, i, i+1)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,6 +52,7 @@
 type Request struct {
 	Raw       []byte
 	Named     []byte // the client's own name for the job, where hosts are told it; nil = none
+	Target    []byte // where the request was sent, where hosts are told that; nil = nowhere
 	Track     []byte
 	Tenant    []byte
 	Session   []byte
--- /dev/null
+++ b/internal/front/platform/answer.go
@@ -0,0 +1,126 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"docksail/internal/decide/peers"
+	"docksail/internal/front"
+	"docksail/internal/loop"
+	"docksail/policy"
+)
+
+// refuse answers a request that cannot be taken, whatever still comes of it, and ends the connection.
+func (c *conn) refuse(status int, why string) {
+	c.s.Counts.Bad++
+	c.last = true
+	c.answer(status, 0, why)
+}
+
+// answer gives an answer that is no stream; after is when to come back, 0 = not told.
+func (c *conn) answer(status int, after loop.Nanos, why string) {
+	c.s.Counts.Answers[status/100]++
+	c.last = c.last || c.s.leaving
+	b := append(c.s.scratch[:0], "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(append(append(b, ' '), http.StatusText(status)...), "\r\nContent-Type: application/json\r\n"...)
+	if after > 0 {
+		b = append(b, "Retry-After: "...)
+		b = appendSeconds(b, after)
+		b = append(b, "\r\n"...)
+	}
+	if c.last {
+		b = append(b, "Connection: close\r\n"...)
+	}
+	text := []byte("{}")
+	if why != "" {
+		if quoted, err := json.Marshal(why); err == nil {
+			text = append(append([]byte(`{"error":{"message":`), quoted...), "}}"...)
+		}
+	}
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(len(text)), 10)
+	b = append(append(b, "\r\n\r\n"...), text...)
+	c.s.scratch = b
+	c.lc.Write(b)
+	c.done()
+}
+
+// appendSeconds writes a span in seconds with three decimals, rounded up.
+func appendSeconds(b []byte, span loop.Nanos) []byte {
+	ms := (span + 1e6 - 1) / 1e6
+	b = strconv.AppendInt(b, ms/1000, 10)
+	return append(b, '.', byte('0'+ms/100%10), byte('0'+ms/10%10), byte('0'+ms%10))
+}
+
+// done follows the end of an answer: the connection stands for its next request, or ends once what was written is read.
+func (c *conn) done() {
+	if c.id != 0 {
+		c.forget()
+	}
+	c.dropBody()
+	c.begun = false
+	if c.last {
+		c.stand(peers.Over)
+		c.lc.EndOutput()
+		c.lc.Pause(false)
+		return
+	}
+	c.stand(peers.Resting)
+	if !c.taking { // what has come meanwhile
+		c.lc.Pause(false)
+		c.pull(nil)
+	}
+}
+
+// Tokens implements front.Call.
+func (c *conn) Tokens(_ policy.JobID, p []byte) bool {
+	if c.gone {
+		return false
+	}
+	if !c.begun {
+		c.begun = true
+		c.s.Counts.Answers[2]++
+		c.last = c.last || c.s.leaving
+		c.lc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"))
+		if c.last {
+			c.lc.Write([]byte("Connection: close\r\n"))
+		}
+		c.lc.Write([]byte("Transfer-Encoding: chunked\r\n\r\n"))
+	}
+	b := strconv.AppendInt(c.s.scratch[:0], int64(len(p)), 16)
+	b = append(append(append(b, "\r\n"...), p...), "\r\n"...)
+	c.s.scratch = b
+	c.lc.Write(b)
+	return c.lc.Queued() > outputBusy
+}
+
+// Honour implements front.Call.
+func (c *conn) Honour(policy.JobID) {
+	if c.gone {
+		return
+	}
+	c.lc.Write([]byte("0\r\n\r\n"))
+	c.done()
+}
+
+// Abandon implements front.Call. A stream that has begun ends without its last chunk.
+func (c *conn) Abandon(_ policy.JobID, why string) {
+	switch {
+	case c.gone:
+	case c.begun:
+		c.s.Counts.Cut++
+		c.last = true
+		c.done()
+	default:
+		c.answer(504, 0, why)
+	}
+}
+
+// Nack implements front.Call.
+func (c *conn) Nack(_ policy.JobID, no front.Refusal) {
+	if !c.gone {
+		c.answer(503, no.After, no.Why)
+	}
+}
--- /dev/null
+++ b/internal/front/platform/request.go
@@ -0,0 +1,238 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+
+	"docksail/internal/front"
+	"docksail/internal/h1"
+)
+
+func cut(p []byte, sep byte) (before, after []byte, found bool) { return bytes.Cut(p, []byte{sep}) }
+
+// ask is what the head of a request says of its job, kept until the body has come.
+type ask struct {
+	name, target, track, session, prefix []byte
+	patience, hint                       int64
+	prompt, shared, most                 int64
+	again                                bool
+}
+
+const (
+	nameMost  = 64
+	trackMost = 64
+	tokenMost = bodyMost // of a prompt: each takes a byte at least
+	wholeDay  = 86400e9
+)
+
+// head reads the fields that the platform has.
+func (a *ask) head(h *h1.Head) error {
+	*a = ask{name: a.name[:0], target: append(a.target[:0], h.Target...), track: a.track[:0], session: a.session[:0],
+		prefix: a.prefix[:0]}
+	var seen [8]bool
+	for _, f := range h.Fields {
+		i, known := fieldNames[string(lower(f.Name))]
+		if !known {
+			continue
+		}
+		if seen[i] {
+			return fmt.Errorf("several %s", f.Name)
+		}
+		seen[i] = true
+		v := f.Value
+		var err error
+		switch i {
+		case fieldName:
+			if !hexName(v) {
+				err = errors.New("want 16 hexadecimal digits")
+			}
+			a.name = append(a.name, v...)
+		case fieldTrack:
+			if len(v) == 0 || len(v) > trackMost {
+				err = errors.New("want the name of a class")
+			}
+			a.track = append(a.track, v...)
+		case fieldSession:
+			if len(v) > nameMost {
+				err = errors.New("too long")
+			}
+			a.session = append(a.session, v...)
+		case fieldPatience:
+			a.patience, err = seconds(v)
+		case fieldLabels:
+			err = a.labels(v)
+		case fieldHint:
+			var us int64
+			if us, err = whole(v, wholeDay/1000); err == nil {
+				a.hint = us * 1000
+			}
+		case fieldAgain:
+			a.again = string(v) == "1"
+		}
+		if err != nil {
+			return fmt.Errorf("%s %.40q: %w", f.Name, v, err)
+		}
+	}
+	switch {
+	case !seen[fieldName]:
+		return errors.New("no X-Txn")
+	case !seen[fieldTrack]:
+		return errors.New("no X-Lane")
+	case !seen[fieldPatience]:
+		return errors.New("no X-Remaining")
+	}
+	return nil
+}
+
+const (
+	fieldName = iota
+	fieldTrack
+	fieldSession
+	fieldPatience
+	fieldLabels
+	fieldHint
+	fieldAgain
+)
+
+var fieldNames = map[string]int{"x-txn": fieldName, "x-lane": fieldTrack, "x-entity": fieldSession,
+	"x-remaining": fieldPatience, "x-labels": fieldLabels, "x-estimate": fieldHint, "x-resent": fieldAgain}
+
+func lower(b []byte) []byte {
+	var buf [16]byte
+	if len(b) > len(buf) {
+		return nil
+	}
+	for i, c := range b {
+		if 'A' <= c && c <= 'Z' {
+			c += 'a' - 'A'
+		}
+		buf[i] = c
+	}
+	return buf[:len(b)]
+}
+
+func hexName(v []byte) bool {
+	for _, c := range v {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return len(v) == 16
+}
+
+// seconds reads a span with decimals: digits and at most one point, above 0.
+func seconds(v []byte) (int64, error) {
+	points, digits := 0, 0
+	for _, c := range v {
+		switch {
+		case c == '.':
+			points++
+		case '0' <= c && c <= '9':
+			digits++
+		default:
+			points = 2
+		}
+	}
+	x, err := strconv.ParseFloat(string(v), 64)
+	if points > 1 || digits == 0 || err != nil || len(v) > 24 || x <= 0 {
+		return 0, errors.New("want seconds above 0")
+	}
+	return max(int64(min(x*1e9, wholeDay)), 1), nil
+}
+
+func whole(v []byte, most int64) (int64, error) {
+	n, err := strconv.ParseUint(string(v), 10, 63)
+	if err != nil || int64(n) > most {
+		return 0, fmt.Errorf("want a number from 0 to %d", most)
+	}
+	return int64(n), nil
+}
+
+// labels reads what the client says of the prompt.
+func (a *ask) labels(v []byte) error {
+	for len(v) > 0 {
+		var pair []byte
+		pair, v, _ = cut(v, ',')
+		key, value, ok := cut(bytes.TrimSpace(pair), '=')
+		if !ok {
+			return fmt.Errorf("label %.20q has no value", pair)
+		}
+		var err error
+		switch string(key) {
+		case "prefix":
+			if len(value) == 0 || len(value) > nameMost {
+				err = errors.New("want a name")
+			}
+			a.prefix = append(a.prefix[:0], value...)
+		case "prompt_len":
+			a.prompt, err = whole(value, tokenMost)
+		case "prefix_len":
+			a.shared, err = whole(value, tokenMost)
+		case "max_out":
+			a.most, err = whole(value, tokenMost)
+		}
+		if err != nil {
+			return fmt.Errorf("label %s: %w", key, err)
+		}
+	}
+	if a.shared > a.prompt {
+		return errors.New("prefix_len is more than prompt_len")
+	}
+	return nil
+}
+
+// body is the shape that a request's body must have; what it says is the host's matter.
+type body struct {
+	Model    *text     `json:"model"`
+	Messages []message `json:"messages"`
+	Stream   *bool     `json:"stream"`
+	Max      *int64    `json:"max_tokens"`
+}
+
+type message struct {
+	Role    *text `json:"role"`
+	Content *text `json:"content"`
+}
+
+// text is a JSON string whose value nobody here needs.
+type text struct{}
+
+func (*text) UnmarshalJSON(b []byte) error {
+	if len(b) == 0 || b[0] != '"' {
+		return errors.New("want a string")
+	}
+	return nil
+}
+
+// request makes the job of a request that has all come; age is how long ago it began to.
+func (a *ask) request(r *front.Request, raw []byte, age int64) error {
+	var b body
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return fmt.Errorf("body: %w", err)
+	}
+	if b.Model == nil || len(b.Messages) == 0 {
+		return errors.New("body: want model and messages")
+	}
+	for i, m := range b.Messages {
+		if m.Role == nil || m.Content == nil {
+			return fmt.Errorf("body: message %d: want role and content", i)
+		}
+	}
+	if b.Max != nil && (*b.Max < 0 || *b.Max > tokenMost) {
+		return fmt.Errorf("body: max_tokens %d", *b.Max)
+	}
+	*r = front.Request{Raw: raw, Named: a.name, Target: a.target, Track: a.track, Session: a.session, Beginning: a.prefix,
+		Prompt: a.prompt, Shared: a.shared, Most: a.most, Hint: a.hint, Patience: max(a.patience-age, 1)}
+	if a.again {
+		r.Repeat = 1
+	}
+	if r.Prompt == 0 {
+		r.Prompt = int64(len(raw)) / tokenBytes
+	}
+	return nil
+}
+
+const tokenBytes = 4
--- /dev/null
+++ b/internal/front/platform/server.go
@@ -0,0 +1,397 @@
+// Package platform is the door for clients that speak the platform's protocol over HTTP/1.1: it checks a request, asks
+// the core and gives the answer in the platform's words. It reaches no host and decides nothing.
+package platform
+
+import (
+	"errors"
+	"log/slog"
+	"net/netip"
+
+	"docksail/internal/decide/peers"
+	"docksail/internal/front"
+	"docksail/internal/h1"
+	"docksail/internal/loop"
+	"docksail/internal/order"
+	"docksail/policy"
+)
+
+const (
+	headMost    = 16 << 10
+	bodyMost    = 256 << 10
+	outputMost  = 1 << 20   // queued for one client, at which its connection ends
+	outputBusy  = 128 << 10 // from which on the host is held back
+	pipelined   = 64 << 10  // bytes that may come behind a request that is in hand
+	pathJobs    = "/v1/chat/completions"
+	pathReady   = "/health/ready"
+	pathHealthy = "/health/live"
+)
+
+// Counts are what the door counted since its start.
+type Counts struct {
+	Requests, Bad, Twice, Crowded, Overflows, Cut uint64
+	Answers                                       [6]uint64 // by the first digit of their status
+}
+
+// Server accepts clients on a loop.
+type Server struct {
+	Counts Counts
+
+	l       *loop.Loop
+	core    front.Core
+	log     *slog.Logger
+	most    int   // connections
+	bodies  int64 // bytes of requests that have come in part, over all connections
+	partial int64
+	ready   func() bool
+	ln      *loop.Listener
+	leaving bool
+	closed  bool
+	n       int
+	number  uint64               // of the last connection
+	stages  [3]order.Heap[*conn] // silent or in part, resting, over: by since when
+	open    map[string]struct{}  // names of the jobs in hand
+	req     front.Request
+	scratch []byte
+}
+
+// New makes a door for at most so many connections and bytes of requests in part; it opens with Listen. ready tells
+// whether the dispatcher can take jobs.
+func New(l *loop.Loop, core front.Core, log *slog.Logger, most int, bodies int64, ready func() bool) *Server {
+	s := &Server{l: l, core: core, log: log, most: most, bodies: bodies, ready: ready, open: make(map[string]struct{})}
+	for i := range s.stages {
+		s.stages[i] = order.Heap[*conn]{Place: func(c *conn) *int { return &c.place },
+			Less: func(a, b *conn) bool { return a.since < b.since || a.since == b.since && a.number < b.number }}
+	}
+	return s
+}
+
+// Listen opens the door.
+func (s *Server) Listen(at netip.AddrPort, share bool) (netip.AddrPort, error) {
+	ln, err := s.l.Listen(at, share, s.accept)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	s.ln = ln
+	return ln.Addr(), nil
+}
+
+// Flush implements dispatch.Entry; what is written is queued already.
+func (s *Server) Flush() {}
+
+// Conns counts open connections.
+func (s *Server) Conns() int { return s.n }
+
+// Idle tells that nobody is connected any more.
+func (s *Server) Idle() bool { return s.n == 0 && s.closed }
+
+// Leave has clients told to go elsewhere; after the time in which new ones still come, the door closes.
+func (s *Server) Leave() {
+	s.leaving = true
+	var t loop.Timer
+	s.l.At(&t, peers.LeaveAfter(s.l.Now()), func(loop.Nanos) {
+		s.ln.Finish()
+		s.closed = true
+		resting := &s.stages[1]
+		for n := resting.Len(); n > 0; n-- { // one whose next request has come already is served first
+			c := resting.Min()
+			resting.Take(c)
+			if c.lc.Quiet() {
+				c.lc.Close()
+			} else {
+				c.stand(peers.Silent)
+			}
+		}
+		s.l.Again()
+	})
+}
+
+func (s *Server) accept(lc *loop.Conn, _ netip.AddrPort) loop.Handler {
+	if s.n >= s.most && !s.makeRoom() {
+		s.Counts.Crowded++
+		return nil
+	}
+	s.n++
+	s.number++
+	c := &conn{s: s, lc: lc, dec: h1.NewServer(h1.Limits{Head: headMost, Body: bodyMost}), number: s.number}
+	c.onTimer = c.due
+	lc.Bound(outputMost)
+	return c
+}
+
+// makeRoom ends a connection for a new one, if there is one to end.
+func (s *Server) makeRoom() bool {
+	since := func(h *order.Heap[*conn]) int64 {
+		if h.Len() == 0 {
+			return 0
+		}
+		return max(h.Min().since, 1)
+	}
+	s.Counts.Crowded++
+	switch peers.Crowded(s.l.Now(), since(&s.stages[0]), since(&s.stages[1])) {
+	case peers.FirstSilent:
+		s.end(&s.stages[0])
+	case peers.FirstResting:
+		s.end(&s.stages[1])
+	default:
+		return false
+	}
+	return true
+}
+
+// end closes the connection that has stood longest.
+func (s *Server) end(stage *order.Heap[*conn]) {
+	c := stage.Min()
+	stage.Take(c)
+	c.lc.Close()
+}
+
+// conn is one client's connection, and the client's end of the job that is in hand on it.
+type conn struct {
+	s       *Server
+	lc      *loop.Conn
+	dec     h1.Decoder
+	feed    h1.Feeder
+	number  uint64
+	stage   peers.Stage
+	since   loop.Nanos // it has stood so
+	place   int
+	timer   loop.Timer
+	onTimer func(loop.Nanos)
+	now     loop.Nanos
+	body    []byte
+	ask     ask
+	aside   string // path of a request that is no job
+	id      policy.JobID
+	begun   bool // the head of an answer has been sent
+	last    bool // the connection ends with this answer
+	taking  bool
+	thrown  int64
+	gone    bool
+}
+
+// heap in which a connection of a stage stands; nil = none.
+func (s *Server) heap(stage peers.Stage) *order.Heap[*conn] {
+	switch stage {
+	case peers.Silent, peers.Part:
+		return &s.stages[0]
+	case peers.Resting:
+		return &s.stages[1]
+	case peers.Over:
+		return &s.stages[2]
+	}
+	return nil
+}
+
+// stand takes down what the connection is about from now on.
+func (c *conn) stand(stage peers.Stage) {
+	if h := c.s.heap(c.stage); h != nil && c.place > 0 {
+		h.Take(c)
+	}
+	if c.stage == peers.Silent && stage == peers.Part {
+		// a first request counts from when its client connected
+	} else {
+		c.since = c.now
+	}
+	c.stage = stage
+	if h := c.s.heap(stage); h != nil {
+		h.Put(c)
+	}
+	if at := peers.Until(stage, c.since); at > 0 {
+		c.s.l.At(&c.timer, max(at, c.now+1), c.onTimer)
+	} else {
+		c.s.l.Cancel(&c.timer)
+	}
+}
+
+// due ends a connection that has stood as it is for too long.
+func (c *conn) due(now loop.Nanos) {
+	c.now = now
+	if c.stage == peers.Part {
+		c.refuse(408, "the request did not come in time")
+		return
+	}
+	c.lc.Close()
+}
+
+func (c *conn) Opened(now loop.Nanos) {
+	c.now = now
+	c.stand(peers.Silent)
+}
+
+func (c *conn) Data(now loop.Nanos, p []byte) {
+	c.now = now
+	if c.stage == peers.Over {
+		if c.thrown += int64(len(p)); c.thrown > peers.Discard {
+			c.lc.Close()
+		}
+		return
+	}
+	if c.stage == peers.Busy && c.feed.Waiting()+len(p) > pipelined {
+		c.lc.Pause(true)
+	}
+	c.pull(p)
+}
+
+func (c *conn) pull(p []byte) {
+	c.taking = true
+	c.feed.Feed(p, c.take)
+	c.taking = false
+}
+
+// take takes requests from the front of p as long as none is in hand.
+func (c *conn) take(p []byte) (n int) {
+	for !c.gone && c.stage != peers.Busy {
+		if c.stage == peers.Over {
+			return len(p)
+		}
+		if n < len(p) && c.dec.Between() && c.stage != peers.Part {
+			c.stand(peers.Part)
+		}
+		piece, data, k, err := c.dec.Next(p[n:])
+		n += k
+		switch {
+		case errors.Is(err, h1.ErrHead):
+			c.refuse(431, err.Error())
+		case errors.Is(err, h1.ErrTooLarge):
+			c.refuse(413, err.Error())
+		case err != nil:
+			c.refuse(400, err.Error())
+		case piece == h1.None:
+			return n
+		case piece == h1.Start:
+			c.start()
+		case piece == h1.Data:
+			c.keep(data)
+		case piece == h1.Whole:
+			c.whole()
+		}
+	}
+	return n
+}
+
+// keep adds to the body of the request under way.
+func (c *conn) keep(data []byte) {
+	if c.s.partial += int64(len(data)); c.s.partial > c.s.bodies {
+		c.s.partial -= int64(len(data))
+		c.refuse(503, "too much has come in part")
+		return
+	}
+	c.body = append(c.body, data...)
+}
+
+// dropBody forgets the body of the request under way.
+func (c *conn) dropBody() {
+	c.s.partial -= int64(len(c.body))
+	if c.body = c.body[:0]; cap(c.body) > 64<<10 {
+		c.body = nil
+	}
+}
+
+// start reads the head of a request.
+func (c *conn) start() {
+	h := &c.dec.Head
+	c.last = h.Close
+	c.aside = ""
+	target, _, _ := cut(h.Target, '?')
+	switch {
+	case string(target) == pathReady || string(target) == pathHealthy:
+		if string(h.Method) != "GET" || h.Length > 0 || h.Chunked {
+			c.refuse(405, "want GET without a body")
+			return
+		}
+		c.aside = pathHealthy
+		if string(target) == pathReady {
+			c.aside = pathReady
+		}
+	case string(target) != pathJobs:
+		c.refuse(404, "no such path")
+	case string(h.Method) != "POST":
+		c.refuse(405, "want POST")
+	case h.Old:
+		c.refuse(505, "want HTTP/1.1")
+	case h.Length < 0 && !h.Chunked:
+		c.refuse(411, "want Content-Length")
+	default:
+		if err := c.ask.head(h); err != nil {
+			c.refuse(400, err.Error())
+			return
+		}
+		if h.Expect {
+			c.lc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		}
+	}
+}
+
+// whole deals with a request that has all come.
+func (c *conn) whole() {
+	if c.aside != "" {
+		status := 200
+		if c.aside == pathReady && (c.s.leaving || !c.s.ready()) {
+			status = 503
+		}
+		c.answer(status, 0, "")
+		return
+	}
+	r := &c.s.req
+	if err := c.ask.request(r, c.body, c.now-c.since); err != nil {
+		c.refuse(400, err.Error())
+		return
+	}
+	if _, ok := c.s.open[string(c.ask.name)]; ok {
+		c.s.Counts.Twice++
+		c.refuse(409, "a request with this id is in hand")
+		return
+	}
+	c.s.Counts.Requests++
+	c.stand(peers.Busy)
+	id, err := c.s.core.Arrive(c.now, c, r)
+	c.dropBody()
+	var no front.Refusal
+	switch {
+	case err == nil:
+		c.id = id
+		c.s.open[string(c.ask.name)] = struct{}{}
+	case errors.As(err, &no):
+		c.Nack(0, no)
+	default:
+		c.refuse(400, err.Error())
+	}
+}
+
+func (c *conn) PeerDone(now loop.Nanos) {
+	c.now = now
+	c.lc.Close()
+}
+
+func (c *conn) Drained(now loop.Nanos) {
+	c.now = now
+	if c.id != 0 {
+		c.s.core.Room(now, c.id)
+	}
+}
+
+func (c *conn) Closed(now loop.Nanos, err error) {
+	c.now, c.gone = now, true
+	if errors.Is(err, loop.ErrOutputBound) {
+		c.s.Counts.Overflows++
+	}
+	if h := c.s.heap(c.stage); h != nil && c.place > 0 {
+		h.Take(c)
+	}
+	c.s.l.Cancel(&c.timer)
+	c.dropBody()
+	c.s.n--
+	if id := c.id; id != 0 {
+		c.forget()
+		c.s.core.Left(now, id)
+	}
+	if c.s.leaving {
+		c.s.l.Again()
+	}
+}
+
+// forget has the connection stand for no job.
+func (c *conn) forget() {
+	c.id = 0
+	delete(c.s.open, string(c.ask.name))
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -23,6 +23,7 @@
 	counted    bool
 	paused     bool
 	closing    bool // to be closed once all is written
+	ending     bool // its output is to be ended once all is written
 	blocked    bool // the socket took less than there was
 	reads      bool // the peer has not ended its half
 	deadline   Timer
@@ -85,7 +86,7 @@
 
 // Write queues bytes; it copies them.
 func (c *Conn) Write(p []byte) {
-	if c.fd < 0 || c.closing || len(p) == 0 {
+	if c.fd < 0 || c.closing || c.ending || len(p) == 0 {
 		return
 	}
 	if c.out == nil {
@@ -117,6 +118,28 @@
 	}
 }
 
+// EndOutput ends the half of the connection that we write once all output is written; the peer may go on to send, and
+// whoever has unread input closed on it would lose what we wrote.
+func (c *Conn) EndOutput() {
+	if c.fd >= 0 {
+		c.ending = true
+		c.touch()
+	}
+}
+
+// Quiet tells that the peer has sent nothing that is not read yet, its end included.
+func (c *Conn) Quiet() bool {
+	if c.fd < 0 || c.connecting {
+		return false
+	}
+	if c.l.world != nil {
+		return len(c.inbox) == 0
+	}
+	var b [1]byte
+	_, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == unix.EAGAIN
+}
+
 // Pause stops, or lets go on, reading from the peer.
 func (c *Conn) Pause(yes bool) {
 	if c.paused = yes; c.fd >= 0 && !c.connecting {
@@ -256,6 +279,12 @@
 		c.die(nil)
 		return
 	}
+	if c.ending {
+		c.ending = false
+		if c.l.world == nil {
+			unix.Shutdown(c.fd, unix.SHUT_WR)
+		}
+	}
 	if had {
 		c.handler.Drained(c.l.now)
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -22,6 +22,7 @@
 	readSize   = 64 << 10              // most bytes taken from one connection in a turn: no peer holds up another
 	eventsTurn = 512                   // events taken in a turn
 	acceptTurn = 64                    // connections accepted in a turn
+	backlog    = 4096                  // connections that may wait to be accepted
 	postRoom   = 1 << 14               // calls from other threads that may wait
 	acceptRest = 50 * time.Millisecond // a listener rests so long after the process ran out of descriptors
 )
@@ -312,7 +313,7 @@
 	if err := unix.Bind(fd, sockaddr(at)); err != nil {
 		return fail("bind", err)
 	}
-	if err := unix.Listen(fd, 4096); err != nil {
+	if err := unix.Listen(fd, backlog); err != nil {
 		return fail("listen", err)
 	}
 	bound, err := unix.Getsockname(fd)
@@ -346,8 +347,20 @@
 	}
 }
 
-func (ln *Listener) ready(l *Loop, _ uint32) {
-	for range acceptTurn {
+// Finish accepts whoever waits, and stops listening.
+func (ln *Listener) Finish() {
+	if ln.l.world == nil && ln.fd >= 0 {
+		ln.take(backlog)
+	}
+	ln.Close()
+}
+
+func (ln *Listener) ready(*Loop, uint32) { ln.take(acceptTurn) }
+
+// take accepts connections that wait, a bounded number of them.
+func (ln *Listener) take(most int) {
+	l := ln.l
+	for range most {
 		fd, from, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
 		case nil:
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,130 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"docksail/internal/decide/peers"
+	"docksail/internal/dispatch"
+	"docksail/internal/enlist"
+	exit "docksail/internal/exit/platform"
+	front "docksail/internal/front/platform"
+	"docksail/internal/loop"
+)
+
+const (
+	// heapShare of the memory limit is the collector's: the rest is for the program's text, stacks and what the kernel
+	// counts as ours.
+	heapShare = 0.6
+	// jobBytes is what a job in hand may take: most are a tenth of it.
+	jobBytes   = 64 << 10
+	promptMost = 1 << 20
+	hush       = 5 * int64(time.Second) // a client is lost that waits longer after a running host's last event
+)
+
+// Node is one dispatcher in service.
+type Node struct {
+	l    *loop.Loop
+	d    *dispatch.Dispatcher
+	in   *front.Server
+	out  *exit.Exit
+	log  *slog.Logger
+	done chan struct{}
+	err  error
+}
+
+// Spare sets the run-time to a small machine: one core, and a heap that keeps within the limit.
+func Spare(t *Told) {
+	runtime.GOMAXPROCS(max(1, int(t.Limits.Cores+0.5)))
+	debug.SetMemoryLimit(int64(heapShare * float64(t.Limits.Memory<<20)))
+}
+
+// New makes a dispatcher on a loop by what it was told.
+func New(l *loop.Loop, t *Told, life uint64, log *slog.Logger) (*Node, error) {
+	seed, err := t.seed()
+	if err != nil {
+		return nil, err
+	}
+	m, err := enlist.New(seed, t.Settings)
+	if err != nil {
+		return nil, err
+	}
+	clients, hosts := peers.Shares(t.Limits.Sockets)
+	memory := t.Limits.Memory << 20
+	most := max(int(heapShare*float64(memory)/2/jobBytes), 16)
+	n := &Node{l: l, log: log, done: make(chan struct{})}
+	if n.d, err = dispatch.Direct(l, log, m.Module, m.Tracks, m.Terms, most, promptMost, int64(m.Advice), hush, life); err != nil {
+		return nil, err
+	}
+	n.in = front.New(l, n.d, log, clients, peers.Bodies(memory), n.d.Known)
+	n.out = exit.New(l, n.d, log, m, hosts, t.Discovery)
+	n.d.Ends(n.in, n.out)
+	n.out.Take(l.Now(), t.Known)
+	if _, err := n.d.Start(t.Listen, false); err != nil {
+		return nil, fmt.Errorf("node %s: %w", t.Name, err)
+	}
+	return n, nil
+}
+
+// Run starts a dispatcher in service on a loop of its own goroutine.
+func Run(t *Told, log *slog.Logger) (*Node, error) {
+	l, err := loop.New()
+	if err != nil {
+		return nil, err
+	}
+	n, err := New(l, t, uint64(time.Now().UnixNano()), log)
+	if err != nil {
+		l.Close()
+		return nil, err
+	}
+	go func() {
+		defer close(n.done)
+		n.err = l.Run(n.d.Round)
+		l.Close()
+	}()
+	return n, nil
+}
+
+// Reload takes over what may change under a dispatcher that runs: where discovery is.
+func (n *Node) Reload(t *Told) {
+	n.l.Post(func() { n.out.Discovery(n.l.Now(), t.Discovery) })
+}
+
+// Leave has clients go elsewhere and the dispatcher end when nobody is left.
+func (n *Node) Leave() { n.l.Post(func() { n.d.LeaveIdle(n.l.Stop) }) }
+
+// Done is closed at the end.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Err tells, after the end, what ended the loop; nil after Leave.
+func (n *Node) Err() error { return n.err }
+
+// View is how a dispatcher does.
+type View struct {
+	InHand, Clients, Hosts, ToHosts int
+	Jobs                            dispatch.Counts
+	Door                            front.Counts
+	Exit                            exit.Counts
+	HeapMB                          float64
+}
+
+// View gives the state of now, by way of the loop; false if the loop has ended.
+func (n *Node) View() (View, bool) {
+	got := make(chan View, 1)
+	n.l.Post(func() {
+		got <- View{InHand: n.d.InHand(), Clients: n.in.Conns(), Hosts: n.out.Hosts(), ToHosts: n.out.Conns(),
+			Jobs: n.d.Counts, Door: n.in.Counts, Exit: n.out.Counts}
+	})
+	select {
+	case v := <-got:
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		v.HeapMB = float64(m.HeapAlloc) / (1 << 20)
+		return v, true
+	case <-n.done:
+		return View{}, false
+	}
+}
--- /dev/null
+++ b/internal/node/told.go
@@ -0,0 +1,77 @@
+// Package node is one dispatcher in service on the platform: what it is told at its start, its loop with the door, the
+// module and the way to the hosts, and the signals that it takes.
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	exit "docksail/internal/exit/platform"
+)
+
+// Told is the platform's configuration of one dispatcher.
+type Told struct {
+	Name      string         `json:"name"`
+	Listen    netip.AddrPort `json:"listen"`
+	Discovery netip.AddrPort `json:"discovery"`
+	Seed      string         `json:"seed"`
+	Limits    struct {
+		Cores   float64 `json:"cores"`
+		Memory  int64   `json:"memory_mb"`
+		Sockets int     `json:"sockets"`
+	} `json:"limits"`
+	Known    exit.List       `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the file that RELAY_CONFIG names; the other variables stand in for what it leaves out.
+func Load(getenv func(string) string) (*Told, error) {
+	name := getenv("RELAY_CONFIG")
+	if name == "" {
+		return nil, fmt.Errorf("RELAY_CONFIG names no file")
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	var t Told
+	if err := json.Unmarshal(text, &t); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if t.Name == "" {
+		t.Name = getenv("RELAY_NAME")
+	}
+	for _, a := range []struct {
+		to   *netip.AddrPort
+		from string
+	}{{&t.Listen, "RELAY_LISTEN"}, {&t.Discovery, "RELAY_DISCOVERY"}} {
+		if a.to.IsValid() {
+			continue
+		}
+		if *a.to, err = netip.ParseAddrPort(getenv(a.from)); err != nil {
+			return nil, fmt.Errorf("%s: no address in the file, and %s: %w", name, a.from, err)
+		}
+	}
+	if len(t.Settings) == 0 {
+		return nil, fmt.Errorf("%s: no settings", name)
+	}
+	if t.Limits.Sockets <= 0 {
+		t.Limits.Sockets = 256
+	}
+	if t.Limits.Memory <= 0 {
+		t.Limits.Memory = 32
+	}
+	return &t, nil
+}
+
+// seed reads the number that feeds all chance.
+func (t *Told) seed() (uint64, error) {
+	n, err := strconv.ParseUint(t.Seed, 16, 64)
+	if err != nil {
+		return 0, fmt.Errorf("seed %q: want up to 16 hexadecimal digits", t.Seed)
+	}
+	return n, nil
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 
+	"docksail/internal/enlist"
 	"docksail/policy"
 )
 
@@ -18,11 +19,8 @@
 
 // instance is one dispatcher and the names it was given, by their numbers.
 type instance struct {
+	*enlist.Module
 	d       *policy.Dispatcher
-	zones   []string
-	kinds   []string
-	tracks  []string
-	tenants []string
 	touched bool
 	failed  string
 }
@@ -272,14 +270,7 @@
 			f.bad("gauge", pair)
 			return load
 		}
-		switch string(key) {
-		case "inflight":
-			load.Requests = x
-		case "x0":
-			load.Memory = x
-		case "x1":
-			load.Unread = 1000 * x
-		}
+		enlist.Report(&load, string(key), x)
 	}
 	return load
 }
@@ -302,11 +293,12 @@
 		if err != nil {
 			return fmt.Errorf("ENLIST: entropy: %w", err)
 		}
-		fresh, err := enlist(seed, h.rest)
+		m, err := enlist.New(seed, h.rest)
 		if err != nil {
 			return fmt.Errorf("ENLIST: %w", err)
 		}
-		if fresh.touched = true; in == nil {
+		fresh := &instance{Module: m, d: m.Module, touched: true}
+		if in == nil {
 			h.touched = append(h.touched, n)
 		}
 		h.instances[n] = fresh
@@ -372,10 +364,10 @@
 	if in == nil {
 		return f.err
 	}
-	job.Track = policy.TrackID(f.named("tier_class", in.tracks, h.rest))
+	job.Track = policy.TrackID(f.named("tier_class", in.Tracks, h.rest))
 	job.Tenant = -1
-	if s := string(project); s != "-" && s != "0" && len(in.tenants) > 0 {
-		job.Tenant = policy.TenantID(f.named("project", in.tenants, project))
+	if s := string(project); s != "-" && s != "0" && len(in.Tenant) > 0 {
+		job.Tenant = policy.TenantID(f.named("project", in.Tenant, project))
 	}
 	if f.err == nil {
 		in.guarded(func() { in.d.JobArrived(h.now, job) })
@@ -423,7 +415,7 @@
 		if in == nil {
 			continue
 		}
-		zone, kind := e.named("site", in.zones, site), e.named("hw", in.kinds, hw)
+		zone, kind := e.named("site", in.Zones, site), e.named("hw", in.Kinds, hw)
 		if e.err != nil {
 			return e.err
 		}
