In a crowd resting connections go first; spoilt answers are logged with how far they had come

Change: resting connections go before ones that have not been read; hosts keep a third of the descriptors, as no job has two launches out.

--- a/internal/decide/peers/peers.go
+++ b/internal/decide/peers/peers.go
@@ -58,15 +58,18 @@
 )
 
 // Crowded decides who goes when there may be no more connections: silent and resting are since when the first of each
-// kind has stood so; 0 = there is none.
+// kind has stood so; 0 = there is none. A client whose resting connection goes makes another for its next request; one
+// whose first request has not been read yet fails. It guards against crowds that would have usual clients shut out.
 func Crowded(now, silent, resting int64) Choice {
 	switch {
 	case silent > 0 && now-silent >= silentLeast:
 		return FirstSilent
 	case resting > 0 && now-resting >= restLeast:
 		return FirstResting
-	case silent > 0:
+	case silent > 0 && resting == 0:
 		return FirstSilent
+	case resting > 0:
+		return FirstResting
 	}
 	return Newest
 }
@@ -76,15 +79,16 @@
 	// descriptor is between two owners.
 	ownShare = 1.0 / 32
 	ownLeast = 24
-	// clientShare of the rest is the clients': they hold a third of all for requests, and more knock.
-	clientShare = 1.0 / 2
+	// hostShare of all is the hosts': clients hold as many for requests, each of which has one launch out at most. The
+	// rest is the clients', as more knock than ask.
+	hostShare = 1.0 / 3
 )
 
 // Shares tells how many connections clients and hosts may have.
 func Shares(descriptors int) (clients, hosts int) {
 	free := descriptors - ownLeast - int(ownShare*float64(descriptors))
-	clients = max(int(clientShare*float64(free)), 1)
-	return clients, max(free-clients, 1)
+	hosts = max(int(hostShare*float64(descriptors)), 1)
+	return max(free-hosts, 1), hosts
 }
 
 // bodyShare of the memory may be filled with requests that have come in part.
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -36,6 +36,7 @@
 	written bool       // to its last byte
 	headed  bool       // its answer's head has come
 	stream  bool       // which is that of a stream
+	events  int        // pieces of it
 	first   []byte     // what has come of a stream's first event
 	load    policy.Load
 }
@@ -73,7 +74,7 @@
 
 func (c *conn) begin(now loop.Nanos) {
 	c.dec = h1.NewClient(h1.Limits{Head: headMost, Body: 0, Chunk: chunkMost})
-	c.sent, c.written, c.headed, c.stream, c.first, c.load = now, false, false, false, c.first[:0], policy.NoLoad
+	c.sent, c.written, c.headed, c.stream, c.first, c.load, c.events = now, false, false, false, c.first[:0], policy.NoLoad, 0
 }
 
 // writeLaunch writes the job's request as its client sent it.
@@ -195,6 +196,7 @@
 		line, _, _ := bytes.Cut(data[i+len(loadLine):], []byte{'\n'})
 		c.report(bytes.TrimSpace(line))
 	}
+	c.events++
 	if !c.j.Begun() {
 		c.first = append(c.first, data...)
 		if !bytes.Contains(c.first, []byte("\n\n")) && !bytes.Contains(c.first, []byte("\r\n\r\n")) {
@@ -217,7 +219,7 @@
 // spoilt ends a launch or release whose answer cannot be read.
 func (c *conn) spoilt(now loop.Nanos, err error) {
 	c.x.Counts.Spoilt++
-	c.x.log.Debug("answer spoilt", "host", c.h.name, "err", err)
+	c.x.log.Info("answer spoilt", "host", c.h.name, "begun", c.j != nil && c.j.Begun(), "after", now-c.sent, "events", c.events, "err", err)
 	c.ended(now, true)
 }
 
--- a/internal/front/platform/server.go
+++ b/internal/front/platform/server.go
@@ -28,7 +28,7 @@
 
 // Counts are what the door counted since its start.
 type Counts struct {
-	Requests, Bad, Twice, Crowded, Overflows, Cut uint64
+	Requests, Bad, Twice, Crowded, Shut, Overflows, Cut uint64
 	Answers                                       [6]uint64 // by the first digit of their status
 }
 
@@ -107,7 +107,7 @@
 
 func (s *Server) accept(lc *loop.Conn, _ netip.AddrPort) loop.Handler {
 	if s.n >= s.most && !s.makeRoom() {
-		s.Counts.Crowded++
+		s.Counts.Shut++
 		return nil
 	}
 	s.n++
@@ -129,6 +129,9 @@
 	s.Counts.Crowded++
 	switch peers.Crowded(s.l.Now(), since(&s.stages[0]), since(&s.stages[1])) {
 	case peers.FirstSilent:
+		if !s.stages[0].Min().lc.Quiet() { // it has spoken by now: in a moment it is busy
+			return false
+		}
 		s.end(&s.stages[0])
 	case peers.FirstResting:
 		s.end(&s.stages[1])
