Hosts and cells that are gone leave their place in the module to new ones

Every one of some 110 replaced hosts stayed in the module's list for good. findHomes takes the number of homes of a beginning from len(d.hosts), so jobs that share one spread over ever more readers, and each reads it anew; all loops over hosts grow as well. No host failed and no bound of the sockets was met (conn, reset, descriptors), which excludes those.

Change: policy/told.go and state.go give a new host the place of one that earlier news said is gone and to which no job in hand refers; a cell without hosts gives its place to a new cell. The policy file is as it was.

--- a/policy/state.go
+++ b/policy/state.go
@@ -121,6 +121,7 @@
 	at       int32 // its place among the cells
 	role     Role
 	health   Health
+	goneIn   uint64  // the news that said it is gone
 	launched Nanos   // last known start; 0 = long ago
 	queued   int64   // own prompt tokens sent there and not yet read
 	out      int32   // own launches there that have not answered
@@ -180,6 +181,62 @@
 	}
 }
 
+// vacant gives the place for a new host: that of one which earlier news said is gone and to which nothing in hand
+// refers, else another. It guards against fleets that are replaced again and again under new names.
+func (d *Dispatcher) vacant() int32 {
+	for i := range d.hosts {
+		h, at := &d.hosts[i], int32(i)
+		if h.health != Gone || h.goneIn >= d.news || h.out > 0 || h.streams > 0 || d.refersTo(at) {
+			continue
+		}
+		d.holds.forget(at)
+		d.unshun(at)
+		delete(d.byID, h.id)
+		return at
+	}
+	d.hosts = append(d.hosts, host{})
+	return int32(len(d.hosts) - 1)
+}
+
+// refersTo tells whether a job in hand has a launch or a state at a host, or may have run there.
+func (d *Dispatcher) refersTo(at int32) bool {
+	return slices.ContainsFunc(d.jobs.jobs, func(j job) bool {
+		return j.used && (j.at == at || j.reader == at || j.ranAt == at)
+	})
+}
+
+// unshun forgets that jobs have failed at a host.
+func (d *Dispatcher) unshun(at int32) {
+	for i := range d.jobs.jobs {
+		j := &d.jobs.jobs[i]
+		for k := range min(j.nshunned, int32(len(j.shunned))) {
+			if j.shunned[k] == at {
+				j.shunned[k] = noHost
+			}
+		}
+	}
+}
+
+// cellOf gives the place of a cell, a new one that of a cell without any host.
+func (d *Dispatcher) cellOf(zone ZoneID, cell CellID) int32 {
+	free := noHost
+	for i := range d.cells {
+		if d.cells[i].id == cell && d.cells[i].zone == zone {
+			return int32(i)
+		}
+		empty := func(h host) bool { return h.at == int32(i) }
+		if free == noHost && !slices.ContainsFunc(d.hosts, empty) {
+			free = int32(i)
+		}
+	}
+	if free == noHost {
+		free = int32(len(d.cells))
+		d.cells = append(d.cells, cellPart{})
+	}
+	d.cells[free] = cellPart{id: cell, zone: zone}
+	return free
+}
+
 const ringSize = 32
 
 // ring keeps the last few figures and when they came.
@@ -380,6 +437,7 @@
 	roles    []Role
 	hosts    []host
 	byID     map[HostID]int32
+	news     uint64 // of the list, counted
 	holds    beginnings
 	recent   [roleCount]ring    // first answers of late, as shares of the expected time
 	usual    [roleCount]float64 // high quantile of them
--- a/policy/told.go
+++ b/policy/told.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"slices"
 )
 
 // What the host tells is taken down here, as far as no judgement goes into it; the rest is in policy.go.
@@ -47,9 +46,12 @@
 
 // ListBegin opens news of the list; full lists name every host that there is.
 func (d *Dispatcher) ListBegin(full bool) {
+	d.news++
 	if full {
 		for i := range d.hosts {
-			d.hosts[i].health = Gone
+			if h := &d.hosts[i]; h.health != Gone {
+				h.health, h.goneIn = Gone, d.news
+			}
 		}
 	}
 }
@@ -59,21 +61,24 @@
 	launched Nanos) {
 	i, ok := d.byID[id]
 	if !ok {
-		i = int32(len(d.hosts))
+		if health == Gone {
+			return
+		}
+		i = d.vacant()
 		d.byID[id] = i
-		d.hosts = append(d.hosts, host{id: id, load: NoLoad, by: make([]trackAt, len(d.tracks))})
+		d.hosts[i] = host{id: id, load: NoLoad, by: make([]trackAt, len(d.tracks))}
 	}
 	h := &d.hosts[i]
+	if health == Gone && h.health != Gone {
+		h.goneIn = d.news
+	}
 	if launched > h.launched && ok { // a new process has kept nothing, and no old verdict on it holds
 		d.holds.forget(i)
 		h.restarted()
 	}
 	h.zone, h.cell, h.health, h.launched = zone, cell, health, max(launched, h.launched)
-	h.at = int32(slices.IndexFunc(d.cells, func(c cellPart) bool { return c.id == cell && c.zone == zone }))
-	if h.at < 0 {
-		h.at = int32(len(d.cells))
-		d.cells = append(d.cells, cellPart{id: cell, zone: zone})
-	}
+	h.at = noHost
+	h.at = d.cellOf(zone, cell)
 	if int(kind) < len(d.roles) {
 		h.role = d.roles[kind]
 	}
