--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -435,7 +435,7 @@
 	if cause != gate.Taken {
 		d.Counts.Refused++
 		if cause.Harmless() {
-			return 0, front.Refusal{Why: cause.String(), After: after}
+			return 0, front.Refusal{Why: cause.String(), After: min(after, d.advises)}
 		}
 		return 0, fmt.Errorf("%s, %d tokens of at most %d: %w", cause, r.Prompt, d.gate.Prompt, front.ErrBad)
 	}
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -27,6 +27,7 @@
 	gone    bool
 	since   loop.Nanos // idle since then
 	place   int
+	used    int // how often
 	timer   loop.Timer
 	onTimer func(loop.Nanos)
 
@@ -74,6 +75,7 @@
 
 func (c *conn) begin(now loop.Nanos) {
 	c.dec = h1.NewClient(h1.Limits{Head: headMost, Body: 0, Chunk: chunkMost})
+	c.used++
 	c.sent, c.written, c.headed, c.stream, c.first, c.load, c.events = now, false, false, false, c.first[:0], policy.NoLoad, 0
 }
 
@@ -185,6 +187,7 @@
 		}
 	}
 	c.load = load
+	c.x.Counts.Reports++
 }
 
 var loadLine = []byte(": X-Pressure: ")
@@ -235,6 +238,10 @@
 		if !c.written && !spoilt {
 			how = policy.Unreachable
 		}
+		if !spoilt {
+			c.x.log.Info("launch lost with its connection", "host", c.h.name, "ready", c.ready, "written", c.written, "begun", j.Begun(),
+				"after", now-c.sent, "rested", c.sent-c.since, "used", c.used)
+		}
 		c.x.d.Finish(now, j, how, "", c.load)
 		c.x.l.Again()
 	case r != nil:
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -27,10 +27,11 @@
 
 // Counts are what the exit counted since its start.
 type Counts struct {
-	Dialled, Reused, Unfit, Retired, NoRoom      uint64
-	Spoilt, Extra                                uint64 // answers that could not be read; bytes that belong to none
-	Releases, ReleaseTries, ReleasesLost, Passed uint64
-	News, Watches                                uint64
+	Dialled, Reused, Unfit, Retired, NoRoom uint64
+	Spoilt, Extra                           uint64 // answers that could not be read; bytes that belong to none
+	Releases, ReleaseTries, ReleasesLost    uint64
+	Reports                                 uint64
+	News, Watches                           uint64
 }
 
 // Exit reaches the hosts on a loop.
--- a/internal/front/platform/server.go
+++ b/internal/front/platform/server.go
@@ -29,7 +29,7 @@
 // Counts are what the door counted since its start.
 type Counts struct {
 	Requests, Bad, Twice, Crowded, Shut, Overflows, Cut uint64
-	Answers                                       [6]uint64 // by the first digit of their status
+	Answers                                             [6]uint64 // by the first digit of their status
 }
 
 // Server accepts clients on a loop.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -29,6 +30,7 @@
 type Node struct {
 	l    *loop.Loop
 	d    *dispatch.Dispatcher
+	addr netip.AddrPort
 	in   *front.Server
 	out  *exit.Exit
 	log  *slog.Logger
@@ -63,7 +65,7 @@
 	n.out = exit.New(l, n.d, log, m, hosts, t.Discovery)
 	n.d.Ends(n.in, n.out)
 	n.out.Take(l.Now(), t.Known)
-	if _, err := n.d.Start(t.Listen, false); err != nil {
+	if n.addr, err = n.d.Start(t.Listen, false); err != nil {
 		return nil, fmt.Errorf("node %s: %w", t.Name, err)
 	}
 	return n, nil
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,445 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	exit "docksail/internal/exit/platform"
+)
+
+// A job is read at a reader and written at a writer as its client sent it, and its events pass unchanged; connections
+// are used again.
+func TestServes(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", func(c net.Conn, r *http.Request, n int) bool {
+		if r.URL.RawQuery != "v=1" || r.Header.Get("X-Remaining") == "" {
+			return false
+		}
+		return read(c, r, n)
+	})
+	s.host("writer", "decode", write)
+	s.start(1024)
+	c := s.dial()
+	for n := range 5 {
+		s.served(c, n)
+		time.Sleep(15 * time.Millisecond) // so long a connection rests
+	}
+	if s.jobsAt("reader") != 5 || s.jobsAt("writer") != 5 || s.conns != 2 {
+		t.Errorf("%d reads, %d writes on %d connections, want 5 and 5 on 2", s.jobsAt("reader"), s.jobsAt("writer"), s.conns)
+	}
+}
+
+// What is no request of the platform's is answered as an error, and no host hears of it.
+func TestBadRequests(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", read)
+	s.host("writer", "decode", write)
+	s.start(1024)
+	name := jobName(1)
+	for what, text := range map[string]string{
+		"no id":           request(name, "X-Txn: "+name+"\r\n", ""),
+		"two ids":         request(name, "X-Lane", "X-Txn: "+jobName(2)+"\r\nX-Lane"),
+		"odd id":          request("zz"),
+		"unknown class":   request(name, "X-Lane: chat", "X-Lane: none"),
+		"no deadline":     request(name, "X-Remaining: 4.800\r\n", ""),
+		"NaN":             request(name, "4.800", "NaN"),
+		"negative time":   request(name, "4.800", "-1"),
+		"infinite time":   request(name, "4.800", "1e999"),
+		"labels":          request(name, "prompt_len=5120", "prompt_len=-5"),
+		"prefix too long": request(name, "prefix_len=2048", "prefix_len=9999"),
+		"no JSON":         request(name, `"model"`, `model""`),
+		"no messages":     request(name, `"messages":[{`, `"messagez":[{`),
+		"content":         request(name, `"abcd"`, `123456`),
+		"two lengths":     request(name, "Content-Length", "Content-Length: 5\r\nContent-Length"),
+		"smuggled":        request(name, "Content-Length", "Transfer-Encoding: chunked\r\nContent-Length"),
+		"60 MB":           request(name, length, "Content-Length: 60000000"),
+		"path":            request(name, "/v1/chat", "/v2/chat"),
+		"method":          request(name, "POST", "PUT"),
+		"no host":         request(name, "Host: api.internal\r\n", ""),
+		"noise":           "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+		"endless head":    "GET / HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("a", 20<<10),
+	} {
+		status, _, _, err := ask(s.dial(), text)
+		if status < 400 || status > 505 || status == 503 {
+			t.Errorf("%s: %d, %v", what, status, err)
+		}
+	}
+	if n := len(s.got(func(seen) bool { return true })); n > 0 {
+		t.Errorf("hosts heard of %d requests", n)
+	}
+	s.served(s.dial(), 1)
+}
+
+// An answer reaches a client that goes on to send a body nobody wants.
+func TestLargeBodyIsAnswered(t *testing.T) {
+	s := newStage(t)
+	s.start(1024)
+	c := s.dial()
+	io.WriteString(c, request(jobName(1), length, "Content-Length: 60000000"))
+	sent := make(chan error, 1)
+	go func() { _, err := io.CopyN(c, zeros{}, 20e6); sent <- err }()
+	if err := <-sent; err != nil {
+		t.Fatalf("the body is cut off: %v", err)
+	}
+	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != 413 {
+		t.Errorf("%v, %v, want 413", res, err)
+	}
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
+
+// Half a request and silence are ended in time, whatever comes drop by drop.
+func TestSlowClients(t *testing.T) {
+	s := newStage(t)
+	s.start(1024)
+	silent, half, drops := s.dial(), s.dial(), s.dial()
+	begun := time.Now()
+	io.WriteString(half, request(jobName(1))[:200])
+	go func() {
+		for range 60 {
+			io.WriteString(drops, "P")
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	for _, c := range []net.Conn{silent, half, drops} {
+		b, _ := io.ReadAll(c)
+		if took := time.Since(begun); took > 3*time.Second || c == half && !strings.Contains(string(b), "408") {
+			t.Errorf("after %v: %q", took, b)
+		}
+	}
+}
+
+// The id of a job in hand is refused elsewhere, and the job goes on.
+func TestSameID(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", read)
+	let := make(chan bool)
+	s.host("writer", "decode", func(c net.Conn, r *http.Request, n int) bool { <-let; return write(c, r, n) })
+	s.start(1024)
+	first := make(chan string, 1)
+	go func() { _, got, _, _ := ask(s.dial(), request(jobName(1))); first <- got }()
+	until(t, "the job is out", func() bool { return s.jobsAt("writer") == 1 })
+	if status, _, _, _ := ask(s.dial(), request(jobName(1))); status != 409 {
+		t.Errorf("the same id: %d, want 409", status)
+	}
+	close(let)
+	if got := <-first; got != answer {
+		t.Errorf("the job in hand: %q", got)
+	}
+}
+
+// A request behind another on the same connection waits for its end.
+func TestPipelined(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", read)
+	s.host("writer", "decode", write)
+	s.start(1024)
+	c := s.dial()
+	io.WriteString(c, request(jobName(1))+request(jobName(2)))
+	in := bufio.NewReader(c)
+	for n := range 2 {
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b, err := io.ReadAll(res.Body); string(b) != answer || err != nil {
+			t.Errorf("answer %d: %q, %v", n, b, err)
+		}
+	}
+}
+
+// A stream spoilt before its first event is a launch that failed; one spoilt later ends the client's connection without
+// the last chunk; one with more than belongs to it serves, and its connection is not used again.
+func TestSpoiltStreams(t *testing.T) {
+	for what, c := range map[string]struct {
+		says  string
+		ends  bool
+		extra bool
+	}{
+		"noise":          {says: "\xb5\r7\xd6\b\x9b\x0f\r\n\r\n"},
+		"odd status":     {says: "HTTP/1.1 2x0 OK\r\n\r\n"},
+		"endless head":   {says: "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("a", 20<<10)},
+		"first chunk":    {says: streamHead + "zz\r\n"},
+		"half an event":  {says: streamHead + chunk(event1[:9]) + "-1\r\n"},
+		"no event":       {says: streamHead + "0\r\n\r\n"},
+		"later chunk":    {says: streamHead + chunk(event1) + "zz\r\n", ends: true},
+		"3 GB":           {says: streamHead + chunk(event1) + "BB800000\r\n" + strings.Repeat("a", 1<<10), ends: true},
+		"does not fit":   {says: streamHead + chunk(event1) + "5\r\n" + event2, ends: true},
+		"reset":          {says: streamHead + chunk(event1) + "RESET", ends: true},
+		"1xx in front":   {says: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + streamHead + chunk(event1) + chunk(event2) + "0\r\n\r\n", extra: true},
+		"odd report":     {says: streamHead + chunk(event1) + chunk(event2) + chunk(": X-Pressure: {nonsense\n") + "0\r\n\r\n", extra: true},
+		"second answer":  {says: streamHead + chunk(event1) + chunk(event2) + "0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", extra: true},
+		"trailing bytes": {says: streamHead + chunk(event1) + chunk(event2) + "0\r\n\r\n\x00\x01", extra: true},
+	} {
+		t.Run(what, func(t *testing.T) {
+			s := newStage(t)
+			s.host("reader", "prefill", read)
+			odd := func(conn net.Conn, r *http.Request, n int) bool {
+				if s.jobsAt("w1")+s.jobsAt("w2") > 1 {
+					return write(conn, r, n)
+				}
+				text, reset := strings.CutSuffix(c.says, "RESET")
+				say(conn, text)
+				return !reset
+			}
+			s.host("w1", "decode", odd)
+			s.host("w2", "decode", odd)
+			s.start(1024)
+			begun := time.Now()
+			status, got, _, err := ask(s.dial(), request(jobName(1)))
+			launches := s.jobsAt("w1") + s.jobsAt("w2")
+			switch {
+			case c.ends:
+				if status != 200 || got != event1 || err == nil || launches != 1 || time.Since(begun) > time.Second {
+					t.Errorf("%d %q, %v after %v, %d launches", status, got, err, time.Since(begun), launches)
+				}
+			case c.extra:
+				if status != 200 || !strings.HasPrefix(got, answer) || err != nil || launches != 1 {
+					t.Errorf("%d %q, %v, %d launches", status, got, err, launches)
+				}
+				for n := 2; n < 6; n++ {
+					time.Sleep(15 * time.Millisecond)
+					s.served(s.dial(), n)
+				}
+			default:
+				if status != 200 || got != answer || err != nil || launches != 2 {
+					t.Errorf("%d %q, %v, %d launches", status, got, err, launches)
+				}
+			}
+		})
+	}
+}
+
+// A connection that its host closed while it stood idle is not written to, and one to a host that cannot be reached costs
+// the job nothing but another launch.
+func TestStaleAndUnreachable(t *testing.T) {
+	s := newStage(t)
+	s.host("r1", "prefill", func(c net.Conn, r *http.Request, n int) bool { read(c, r, n); return false })
+	s.host("w1", "decode", func(c net.Conn, r *http.Request, n int) bool { write(c, r, n); return false })
+	s.host("r2", "prefill", read).Close()
+	s.host("w2", "decode", write).Close()
+	s.start(1024)
+	c := s.dial()
+	for n := range 8 {
+		s.served(c, n)
+		time.Sleep(15 * time.Millisecond)
+	}
+	if s.jobsAt("r1") != 8 || s.jobsAt("w1") != 8 {
+		t.Errorf("%d reads, %d writes, want 8 each", s.jobsAt("r1"), s.jobsAt("w1"))
+	}
+}
+
+// What may have run is launched again where that does no harm; a 400 of a host is the request's own fault.
+func TestOutcomes(t *testing.T) {
+	for what, c := range map[string]struct {
+		does   script
+		status int
+		writes int
+	}{
+		"reset after the last byte": {func(net.Conn, *http.Request, int) bool { return false }, 200, 2},
+		"error": {func(c net.Conn, _ *http.Request, _ int) bool {
+			return say(c, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n")
+		}, 200, 2},
+		"turned away": {func(c net.Conn, _ *http.Request, _ int) bool {
+			return say(c, "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+		}, 200, 2},
+		"state gone": {func(c net.Conn, _ *http.Request, _ int) bool {
+			return say(c, "HTTP/1.1 410 Gone\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
+		}, 200, 2},
+		"unusable": {func(c net.Conn, _ *http.Request, _ int) bool {
+			return say(c, "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n")
+		}, 504, 1},
+	} {
+		t.Run(what, func(t *testing.T) {
+			s := newStage(t)
+			s.host("r1", "prefill", read)
+			s.host("r2", "prefill", read)
+			first := func(conn net.Conn, r *http.Request, n int) bool {
+				if s.jobsAt("w1")+s.jobsAt("w2") > 1 {
+					return write(conn, r, n)
+				}
+				return c.does(conn, r, n)
+			}
+			s.host("w1", "decode", first)
+			s.host("w2", "decode", first)
+			s.start(1024)
+			status, _, _, err := ask(s.dial(), request(jobName(1)))
+			if writes := s.jobsAt("w1") + s.jobsAt("w2"); status != c.status || writes != c.writes || err != nil {
+				t.Errorf("%d after %d writes, %v, want %d after %d", status, writes, err, c.status, c.writes)
+			}
+			if what != "state gone" {
+				return
+			}
+			reads := s.got(func(x seen) bool { return x.method == "POST" && x.host[0] == 'r' })
+			gone := s.got(func(x seen) bool { return x.method == "DELETE" })
+			if len(reads) != 2 || len(gone) != 1 || gone[0].at.Before(reads[0].at) || gone[0].at.After(reads[1].at) {
+				t.Errorf("reads %v, releases %v: want a release between two reads", reads, gone)
+			}
+		})
+	}
+}
+
+// A client that is gone ends its job: the launch's connection is closed and what was read is let go of, by a host that
+// is heard, as the one that holds it is silent.
+func TestReleaseByAnotherHost(t *testing.T) {
+	s := newStage(t)
+	hung := make(chan bool)
+	s.host("r1", "prefill", func(net.Conn, *http.Request, int) bool { <-hung; return false })
+	s.host("writer", "decode", write)
+	s.start(1024)
+	defer close(hung)
+	c := s.dial()
+	io.WriteString(c, request(jobName(1)))
+	until(t, "the read is out", func() bool { return s.jobsAt("r1") == 1 })
+	c.Close()
+	released := func() []seen { return s.got(func(x seen) bool { return x.method == "DELETE" }) }
+	until(t, "a release", func() bool { return len(released()) > 0 })
+	if x := released()[0]; x.path != "/state/"+jobName(1) {
+		t.Errorf("released %v", x)
+	}
+}
+
+// The jobs that find no host are answered at once, with when to come back.
+func TestNack(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", read).Close()
+	s.start(1024)
+	status, _, after, _ := ask(s.dial(), request(jobName(1)))
+	if status != 503 || after != "0.750" {
+		t.Errorf("%d, Retry-After %q, want 503 and 0.750", status, after)
+	}
+}
+
+// News of the list is heeded, also from another address after a change of the configuration.
+func TestListAndReload(t *testing.T) {
+	s := newStage(t)
+	s.host("r1", "prefill", read)
+	s.host("w1", "decode", write)
+	s.host("w2", "decode", write)
+	s.start(1024)
+	s.served(s.dial(), 1)
+	w1 := s.hosts[1]
+	w1.State = "Terminating"
+	s.watch <- exit.List{Version: 42, Servers: []exit.Server{w1}}
+	until(t, "the news", func() bool { v, _ := s.node.View(); return v.Exit.News == 2 })
+	had := s.jobsAt("w1")
+	for n := 2; n < 8; n++ {
+		s.served(s.dial(), n)
+	}
+	if s.jobsAt("w1") != had {
+		t.Error("a host that drains got a job")
+	}
+	old := s.watch
+	changed := *s.told
+	changed.Discovery = s.discovery()
+	s.node.Reload(&changed)
+	until(t, "a watch at the new address", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.froms) == 2 && s.froms[1] == "42" })
+	w1.State = "Ready"
+	s.watch <- exit.List{Version: 43, Servers: []exit.Server{w1}}
+	until(t, "its news", func() bool { v, _ := s.node.View(); return v.Exit.News == 3 })
+	select {
+	case old <- exit.List{Version: 99}:
+		t.Error("the old address is still watched")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// Hosts that are replaced under new names leave nothing behind.
+func TestReplacedHosts(t *testing.T) {
+	s := newStage(t)
+	s.host("r", "prefill", read)
+	s.host("w", "decode", write)
+	s.start(1024)
+	version := int64(41)
+	c := s.dial()
+	for n := range 200 {
+		var list exit.List
+		for i, h := range s.hosts {
+			gone := h
+			gone.State = "Gone"
+			h.ID = "h" + jobName(2*n+i)
+			s.hosts[i] = h
+			list.Servers = append(list.Servers, gone, h)
+		}
+		version++
+		list.Version = version
+		s.watch <- list
+		until(t, "the news", func() bool { v, _ := s.node.View(); return v.Exit.News == uint64(n+2) })
+		if n%20 == 0 {
+			s.served(c, n)
+		}
+	}
+	if v, _ := s.node.View(); v.Hosts > 2 || v.ToHosts > 4 {
+		t.Errorf("%d hosts known, %d connections, want 2 and few", v.Hosts, v.ToHosts)
+	}
+}
+
+// A dispatcher told to leave serves who has come and still comes, and ends when nobody is left.
+func TestLeave(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", read)
+	let := make(chan bool)
+	s.host("writer", "decode", func(c net.Conn, r *http.Request, n int) bool { <-let; return write(c, r, n) })
+	s.start(1024)
+	resting, busy := s.dial(), s.dial()
+	if status, _, _, _ := ask(resting, "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"); status != 200 {
+		t.Fatalf("ready: %d", status)
+	}
+	first := make(chan string, 1)
+	go func() { _, got, _, _ := ask(busy, request(jobName(1))); first <- got }()
+	until(t, "the job is out", func() bool { return s.jobsAt("writer") == 1 })
+	s.node.Leave()
+	until(t, "it is not ready any more", func() bool {
+		status, _, _, _ := ask(s.dial(), "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+		return status == 503
+	})
+	waiting := make([]net.Conn, 50) // they lie in the accept queue as the door closes
+	for i := range waiting {
+		waiting[i] = s.dial()
+		io.WriteString(waiting[i], request(jobName(100+i)))
+	}
+	close(let)
+	if got := <-first; got != answer {
+		t.Errorf("the job in hand: %q", got)
+	}
+	for i, c := range waiting {
+		if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != 200 || !res.Close {
+			t.Errorf("client %d: %v, %v", i, res, err)
+		}
+		c.Close()
+	}
+	if b, err := io.ReadAll(resting); len(b) > 0 || err != nil {
+		t.Errorf("the resting connection: %q, %v", b, err)
+	}
+	busy.Close()
+	select {
+	case <-s.node.Done():
+	case <-time.After(5 * time.Second):
+		t.Error("it has not ended")
+	}
+}
+
+// Where descriptors are short, clients that say nothing and such as rest give way to those that ask.
+func TestDescriptorsShort(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", read)
+	s.host("writer", "decode", write)
+	s.start(64)
+	for range 200 {
+		s.dial()
+	}
+	for n := range 40 {
+		c := s.dial()
+		s.served(c, n)
+	}
+	if v, _ := s.node.View(); v.Clients > 64 || v.Door.Crowded == 0 {
+		t.Errorf("%d connections, %d times crowded", v.Clients, v.Door.Crowded)
+	}
+}
--- /dev/null
+++ b/internal/node/stage_test.go
@@ -0,0 +1,238 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	exit "docksail/internal/exit/platform"
+)
+
+// seen is one request that a scripted host got.
+type seen struct {
+	host, method, path, name string
+	conn                     int
+	at                       time.Time
+}
+
+// stage is a dispatcher in service between scripted hosts, a scripted discovery and the test as its client.
+type stage struct {
+	t     *testing.T
+	node  *Node
+	told  *Told
+	hosts []exit.Server
+	mu    sync.Mutex
+	seen  []seen
+	conns int
+	watch chan exit.List // news for whoever watches
+	froms []string       // what watches asked for
+}
+
+// script answers a request; false: the connection is to be closed.
+type script func(c net.Conn, r *http.Request, nth int) bool
+
+func say(c net.Conn, text string) bool { _, err := io.WriteString(c, text); return err == nil }
+
+func read(c net.Conn, _ *http.Request, _ int) bool {
+	return say(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 19\r\nX-Pressure: {\"x0\":0.1,\"x1\":0}\r\n\r\n{\"cached_tokens\":0}")
+}
+
+func chunk(text string) string {
+	return strconv.FormatInt(int64(len(text)), 16) + "\r\n" + text + "\r\n"
+}
+
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	event1     = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"}}]}\n\n"
+	event2     = "data: [DONE]\n\n"
+	answer     = event1 + event2
+)
+
+func write(c net.Conn, _ *http.Request, _ int) bool {
+	return say(c, streamHead+chunk(event1)+chunk(event2)+"0\r\n\r\n")
+}
+
+// host adds a scripted host; it takes every release.
+func (s *stage) host(name, kind string, does script) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { ln.Close() })
+	s.hosts = append(s.hosts, exit.Server{ID: name, Addr: ln.Addr().String(), Zone: "z", Kind: kind, State: "Ready"})
+	go func() {
+		for nth := 0; ; {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			conn := s.conns
+			s.mu.Unlock()
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					s.mu.Lock()
+					s.seen = append(s.seen, seen{name, r.Method, r.URL.Path, r.Header.Get("X-Txn"), conn, time.Now()})
+					nth++
+					n := nth
+					s.mu.Unlock()
+					if r.Method == "DELETE" {
+						say(c, "HTTP/1.1 204 No Content\r\n\r\n")
+					} else if !does(c, r, n) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln
+}
+
+// got gives what hosts have seen that fits.
+func (s *stage) got(fits func(seen) bool) []seen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []seen
+	for _, x := range s.seen {
+		if fits(x) {
+			found = append(found, x)
+		}
+	}
+	return found
+}
+
+func (s *stage) jobsAt(host string) int {
+	return len(s.got(func(x seen) bool { return x.host == host && x.method == "POST" }))
+}
+
+const settings = `{"family_info":{"release_ns":1000000000,"role_by_kind":["read","write"],"token_aim_ns":[60000000],
+"aim_us_per_1000_prompt_tokens":[40000]},"limits":{"cancel":true,"conn_idle_ns":15000000000,"connect_timeout_ns":250000000,
+"max_attempts":6,"max_retry_after_ns":1000000000,"retry_after":true},"localities":["z"],"machine_types":["prefill","decode"],
+"me":0,"siblings":2,"zone":"z","membership_mode":"pushed","round_ns":4000000,"request_classes":[{"dedup_scope":"all",
+"effect":"idempotent","give_up_ns":6000000000,"late_value":0.1,"name":"chat","on_time_ns":1500000000,"points":3,
+"window_ns":5000000000}],"rules":{"answer_slack_ns":16000000,"cold_from":0.3,"cold_ns":1000000000,"fall_multiple":2.5,
+"fall_ns":3000000000},"tenants":[],"unknown":{"key":1}}`
+
+// discovery serves a watch; each answers with its whole list first.
+func (s *stage) discovery() netip.AddrPort {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	watch := make(chan exit.List)
+	s.watch = watch
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.froms = append(s.froms, r.URL.Query().Get("from"))
+		s.mu.Unlock()
+		w.(http.Flusher).Flush()
+		for {
+			select {
+			case list := <-watch:
+				json.NewEncoder(w).Encode(list)
+			case <-time.After(500 * time.Millisecond):
+				io.WriteString(w, "\n")
+			case <-r.Context().Done():
+				return
+			case <-ctx.Done():
+				return
+			}
+			w.(http.Flusher).Flush()
+		}
+	})}
+	go server.Serve(ln)
+	s.t.Cleanup(func() { cancel(); server.Close() })
+	return netip.MustParseAddrPort(ln.Addr().String())
+}
+
+func newStage(t *testing.T) *stage {
+	return &stage{t: t}
+}
+
+// start puts the dispatcher between them.
+func (s *stage) start(sockets int) {
+	s.told = &Told{Name: "n0", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Discovery: s.discovery(), Seed: "8c1f30d27a5be964",
+		Settings: json.RawMessage(settings)}
+	s.told.Limits.Sockets, s.told.Limits.Memory, s.told.Known = sockets, 96, exit.List{Version: 41, Full: true, Servers: s.hosts}
+	n, err := Run(s.told, slog.New(slog.DiscardHandler))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.node = n
+	s.t.Cleanup(func() { n.l.Stop(); <-n.done })
+}
+
+const body = `{"model":"chat","stream":true,"max_tokens":80,"messages":[{"role":"user","content":"abcd"}]}`
+
+// request makes the text of a job's request; change replaces pieces of it, pairwise.
+func request(name string, change ...string) string {
+	text := "POST /v1/chat/completions?v=1 HTTP/1.1\r\nHost: api.internal\r\nX-Txn: " + name + "\r\nX-Lane: chat\r\n" +
+		"X-Entity: 7f3a9c21e0b4d655\r\nX-Remaining: 4.800\r\nX-Labels: prefix=5c0f6e1a2b3d4c59,prompt_len=5120,prefix_len=2048,max_out=800\r\n" +
+		length + "\r\n\r\n" + body
+	return strings.NewReplacer(change...).Replace(text)
+}
+
+var length = "Content-Length: " + strconv.Itoa(len(body))
+
+func jobName(n int) string { return fmt.Sprintf("%016x", n) }
+
+func (s *stage) dial() net.Conn {
+	c, err := net.Dial("tcp", s.node.addr.String())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return c
+}
+
+// ask sends a request and gives the answer: its status, its body, and the error with which that ended.
+func ask(c net.Conn, text string) (status int, got string, after string, err error) {
+	if _, err := io.WriteString(c, text); err != nil {
+		return 0, "", "", err
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, "", "", err
+	}
+	b, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(b), res.Header.Get("Retry-After"), err
+}
+
+// served asks for a job and wants it served.
+func (s *stage) served(c net.Conn, n int) {
+	s.t.Helper()
+	status, got, _, err := ask(c, request(jobName(n)))
+	if status != 200 || got != answer || err != nil {
+		s.t.Fatalf("job %d: %d %q, %v", n, status, got, err)
+	}
+}
+
+func until(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !is(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within 5 s", what)
+		}
+	}
+}
