--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -29,8 +29,11 @@
 		s.served(c, n)
 		time.Sleep(15 * time.Millisecond) // so long a connection rests
 	}
-	if s.jobsAt("reader") != 5 || s.jobsAt("writer") != 5 || s.conns != 2 {
-		t.Errorf("%d reads, %d writes on %d connections, want 5 and 5 on 2", s.jobsAt("reader"), s.jobsAt("writer"), s.conns)
+	s.mu.Lock()
+	conns := s.conns
+	s.mu.Unlock()
+	if s.jobsAt("reader") != 5 || s.jobsAt("writer") != 5 || conns != 2 {
+		t.Errorf("%d reads, %d writes on %d connections, want 5 and 5 on 2", s.jobsAt("reader"), s.jobsAt("writer"), conns)
 	}
 }
 
