Bodies' room is shared by connections; buffers that stay are fewer and smaller

Change: internal/front/platform lends room for bodies from a few spare ones; internal/h1 keeps no more than 1 KiB between arrivals; internal/loop keeps 128 buffers of up to 32 KiB.

--- /dev/null
+++ b/internal/decide/peers/peers_test.go
@@ -0,0 +1,44 @@
+package peers
+
+import "testing"
+
+func TestCrowded(t *testing.T) {
+	const now = int64(100e9)
+	for what, c := range map[string]struct {
+		silent, resting int64
+		want            Choice
+	}{
+		"nobody else":              {0, 0, Newest},
+		"long silent":              {now - 300e6, now - 10e9, FirstSilent},
+		"just come, long at rest":  {now - 1e6, now - 3e9, FirstResting},
+		"just come, just at rest":  {now - 1e6, now - 1e6, FirstResting},
+		"just come, nobody rests":  {now - 1e6, 0, FirstSilent},
+		"nobody silent, some rest": {0, now - 1e6, FirstResting},
+	} {
+		if got := Crowded(now, c.silent, c.resting); got != c.want {
+			t.Errorf("%s: %d, want %d", what, got, c.want)
+		}
+	}
+}
+
+// Whatever the limit, the shares fit into it and hosts have as many as clients may hold for requests.
+func TestShares(t *testing.T) {
+	for n := 64; n <= 4096; n += 7 {
+		clients, hosts := Shares(n)
+		if clients+hosts+ownLeast > n || hosts < n/3 || clients < 1 || n >= 256 && clients < n/3 {
+			t.Fatalf("%d descriptors: %d for clients, %d for hosts", n, clients, hosts)
+		}
+	}
+}
+
+// A first request is ended within 3 s of its client's connecting, as silence is.
+func TestUntil(t *testing.T) {
+	for _, stage := range []Stage{Silent, Part} {
+		if at := Until(stage, 5); at <= 5 || at > 5+3*second {
+			t.Errorf("stage %d ends at %d", stage, at)
+		}
+	}
+	if Until(Busy, 5) != 0 {
+		t.Error("a connection with a job in hand has an end")
+	}
+}
--- a/internal/front/platform/server.go
+++ b/internal/front/platform/server.go
@@ -21,6 +21,8 @@
 	outputMost  = 1 << 20   // queued for one client, at which its connection ends
 	outputBusy  = 128 << 10 // from which on the host is held back
 	pipelined   = 64 << 10  // bytes that may come behind a request that is in hand
+	spareMost   = 64 << 10  // a body's room larger than this is not kept
+	spareCount  = 16        // nor more of them
 	pathJobs    = "/v1/chat/completions"
 	pathReady   = "/health/ready"
 	pathHealthy = "/health/live"
@@ -51,6 +53,7 @@
 	stages  [3]order.Heap[*conn] // silent or in part, resting, over: by since when
 	open    map[string]struct{}  // names of the jobs in hand
 	req     front.Request
+	spare   [][]byte // room for bodies
 	scratch []byte
 }
 
@@ -279,15 +282,19 @@
 		c.refuse(503, "too much has come in part")
 		return
 	}
+	if n := len(c.s.spare); c.body == nil && n > 0 {
+		c.body, c.s.spare = c.s.spare[n-1], c.s.spare[:n-1]
+	}
 	c.body = append(c.body, data...)
 }
 
-// dropBody forgets the body of the request under way.
+// dropBody forgets the body of the request under way. Its room is for the next one on whatever connection: most rest.
 func (c *conn) dropBody() {
 	c.s.partial -= int64(len(c.body))
-	if c.body = c.body[:0]; cap(c.body) > 64<<10 {
-		c.body = nil
+	if cap(c.body) > 0 && cap(c.body) <= spareMost && len(c.s.spare) < spareCount {
+		c.s.spare = append(c.s.spare, c.body[:0])
 	}
+	c.body = nil
 }
 
 // start reads the head of a request.
--- a/internal/h1/decoder.go
+++ b/internal/h1/decoder.go
@@ -287,7 +287,7 @@
 	}
 }
 
-const keepRoom = 4 << 10 // a buffer that has grown beyond this is not kept once it is empty
+const keepRoom = 1 << 10 // a buffer that has grown beyond this is not kept once it is empty
 
 func (f *Feeder) drop() {
 	if cap(f.rest) > keepRoom {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -300,8 +300,8 @@
 
 const (
 	poolSize  = 4 << 10  // a pooled buffer starts with this much
-	poolMost  = 64 << 10 // larger ones are not kept
-	poolCount = 1024     // nor more of them
+	poolMost  = 32 << 10 // larger ones are not kept
+	poolCount = 128      // nor more of them: more are rarely queued in one turn
 )
 
 // bufPool keeps buffers for reuse.
--- a/internal/node/stage_test.go
+++ b/internal/node/stage_test.go
@@ -72,7 +72,8 @@
 	s.t.Cleanup(func() { ln.Close() })
 	s.hosts = append(s.hosts, exit.Server{ID: name, Addr: ln.Addr().String(), Zone: "z", Kind: kind, State: "Ready"})
 	go func() {
-		for nth := 0; ; {
+		nth := 0
+		for {
 			c, err := ln.Accept()
 			if err != nil {
 				return
