The module knows launches lost with kept connections that had died: no news of a host

The hosts were well: fresh connections to them served in the same milliseconds. The faulty line: judge (policy.go) counts every Broken as a failure of the host, and LaunchEnded (told.go) shuns it, so a session also lost its reader.

Change: an outcome Lapsed. It may have run, so rule two holds as for Broken; the host's share of failures stays, the job may go there again, and a held state's time runs on.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -181,7 +181,7 @@
 		d.heed(&d.waits[h.role], 1, d.serving[h.role])
 		h.fullTill = now + j.expected/8
 		return
-	case NotSent, Stateless:
+	case NotSent, Stateless, Lapsed: // connections that die unseen while kept are no sign of a sick host
 		return
 	default:
 		h.trial = false
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -195,7 +195,7 @@
 	case "ended":
 		how, ok := map[string]Outcome{"honoured": Honoured, "read": Read, "turned": Turned, "stateless": Stateless,
 			"unreachable": Unreachable, "notsent": NotSent, "failed": Failed, "late": Late, "broken": Broken,
-			"recalled": Recalled}[w[2]]
+			"recalled": Recalled, "lapsed": Lapsed}[w[2]]
 		if !ok {
 			p.t.Fatalf("%s: unknown outcome", p.at)
 		}
--- a/policy/told.go
+++ b/policy/told.go
@@ -130,10 +130,10 @@
 	if j.phase != toRead || j.unsplit {
 		h.streams--
 	}
-	if (how == Failed || how == Late || how == Broken || how == Recalled) && h.role != Reader && !j.mayRun {
+	if (how == Failed || how == Late || how == Broken || how == Recalled || how == Lapsed) && h.role != Reader && !j.mayRun {
 		j.mayRun, j.ranAt, j.ranSince = true, j.at, j.sent
 	}
-	if how != Read && how != Stateless {
+	if how != Read && how != Stateless && how != Lapsed {
 		j.shun(j.at)
 	}
 	switch {
@@ -146,7 +146,7 @@
 		over = true
 	case !j.held:
 		j.phase = toRead
-	case how != NotSent:
+	case how != NotSent && how != Lapsed:
 		j.heldFrom = now
 	}
 	j.out, j.over, j.at, j.unsplit = false, j.over || over, noHost, false
--- a/policy/types.go
+++ b/policy/types.go
@@ -72,6 +72,7 @@
 	Late                       // its time ran out
 	Broken                     // the connection broke
 	Recalled                   // withdrawn
+	Lapsed                     // lost with a connection kept from before, dead by then: it may have run
 )
 
 // Track is one class of jobs.
