What the module holds of each host is logged beside what crosses the sockets

Need: the users want belief and sockets compared.

Change: policy.Believes tells what is held of a host, the exit what is out to it and what it reported last; docksail node logs both with its counts, and whether they differ. A test holds them against each other with jobs in every stage.

--- a/cmd/docksail/node.go
+++ b/cmd/docksail/node.go
@@ -45,7 +45,13 @@
 				select {
 				case <-tick.C:
 					if v, ok := n.View(); ok {
+						beliefs := v.Beliefs
+						v.Beliefs = nil
 						log.Info("counts", "view", v)
+						for _, b := range beliefs {
+							log.Info("belief", "host", b.Name, "reader", b.Reader, "unread", b.Unread, "reported", b.Load.Unread, "age_ms", b.LoadAge/1e6,
+								"waiting", b.Waiting, "writing", b.Writing, "out", b.Out, "idle", b.Idle, "aside", b.Aside, "differs", b.Differs())
+						}
 					}
 				case s := <-signals:
 					if s != syscall.SIGHUP {
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -197,6 +197,7 @@
 		}
 	}
 	c.load = load
+	c.h.load, c.h.loadAt = load, c.x.l.Now()
 	c.x.Counts.Reports++
 }
 
--- a/internal/exit/platform/discovery.go
+++ b/internal/exit/platform/discovery.go
@@ -277,7 +277,7 @@
 		return fmt.Errorf("host %q: zone %q and kind %q: want ones of the settings", e.ID, e.Zone, e.Kind)
 	}
 	if h == nil {
-		h = &host{x: x, id: x.idOf(e.ID), name: e.ID}
+		h = &host{x: x, id: x.idOf(e.ID), name: e.ID, load: policy.NoLoad}
 		x.hosts = append(x.hosts, h)
 		x.byName[e.ID], x.byID[h.id] = h, h
 	}
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -86,7 +86,9 @@
 	health  policy.Health
 	started int64
 	conns   []*conn
-	heard   loop.Nanos // last bytes from it
+	heard   loop.Nanos  // last bytes from it
+	load    policy.Load // its last report ...
+	loadAt  loop.Nanos  // ... and when that came
 }
 
 // idOf gives a host's number by its name, the same at every dispatcher and in every life but for names whose hashes
@@ -117,6 +119,40 @@
 // Hosts counts the hosts that are known.
 func (x *Exit) Hosts() int { return len(x.hosts) }
 
+// HostView is what crosses the sockets to a host.
+type HostView struct {
+	ID      policy.HostID
+	Name    string
+	Reader  bool
+	Out     int // launches on connections to it, or waiting for a release
+	Idle    int // connections that carry nothing
+	Load    policy.Load
+	LoadAge int64 // nanoseconds since that report; -1 = none has come
+}
+
+// Each calls f for every host that is known.
+func (x *Exit) Each(now loop.Nanos, f func(HostView)) {
+	for _, h := range x.hosts {
+		v := HostView{ID: h.id, Name: h.name, Reader: h.role == policy.Reader, Load: h.load, LoadAge: -1}
+		if h.load != policy.NoLoad {
+			v.LoadAge = now - h.loadAt
+		}
+		for _, c := range h.conns {
+			if c.j != nil {
+				v.Out++
+			} else if c.idle {
+				v.Idle++
+			}
+		}
+		for _, r := range x.releases {
+			if r.next != nil && r.next.Host == h.id {
+				v.Out++
+			}
+		}
+		f(v)
+	}
+}
+
 // Reads implements dispatch.Exit.
 func (x *Exit) Reads(id policy.HostID) (reads, known bool) {
 	h := x.byID[id]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	exit "docksail/internal/exit/platform"
 	front "docksail/internal/front/platform"
 	"docksail/internal/loop"
+	"docksail/policy"
 )
 
 const (
@@ -30,6 +31,7 @@
 type Node struct {
 	l    *loop.Loop
 	d    *dispatch.Dispatcher
+	mod  *policy.Dispatcher
 	addr netip.AddrPort
 	in   *front.Server
 	out  *exit.Exit
@@ -57,7 +59,7 @@
 	clients, hosts := peers.Shares(t.Limits.Sockets)
 	memory := t.Limits.Memory << 20
 	most := max(int(heapShare*float64(memory)/2/jobBytes), 16)
-	n := &Node{l: l, log: log, done: make(chan struct{})}
+	n := &Node{l: l, log: log, mod: m.Module, done: make(chan struct{})}
 	if n.d, err = dispatch.Direct(l, log, m.Module, m.Tracks, m.Terms, most, promptMost, int64(m.Advice), hush, life); err != nil {
 		return nil, err
 	}
@@ -111,13 +113,35 @@
 	Door                            front.Counts
 	Exit                            exit.Counts
 	HeapMB                          float64
+	Beliefs                         []Belief `json:"-"`
+}
+
+// Belief is what the module holds of a host beside what crosses the sockets to it.
+type Belief struct {
+	policy.Belief
+	exit.HostView
+}
+
+// Differs tells that the two do not agree on the launches that are out: a fault of the program.
+func (b *Belief) Differs() bool {
+	if b.Reader {
+		return int(b.Waiting) != b.Out
+	}
+	return int(b.Writing) != b.Out
 }
 
 // View gives the state of now, by way of the loop; false if the loop has ended.
 func (n *Node) View() (View, bool) {
 	got := make(chan View, 1)
 	n.l.Post(func() {
-		got <- View{InHand: n.d.InHand(), Clients: n.in.Conns(), Hosts: n.out.Hosts(), ToHosts: n.out.Conns(),
+		now := n.l.Now()
+		var beliefs []Belief
+		n.out.Each(now, func(h exit.HostView) {
+			if held, ok := n.mod.Believes(n.d.Time(now), h.ID); ok {
+				beliefs = append(beliefs, Belief{held, h})
+			}
+		})
+		got <- View{Beliefs: beliefs, InHand: n.d.InHand(), Clients: n.in.Conns(), Hosts: n.out.Hosts(), ToHosts: n.out.Conns(),
 			Jobs: n.d.Counts, Door: n.in.Counts, Exit: n.out.Counts}
 	})
 	select {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -488,3 +488,56 @@
 		t.Errorf("the session was read at %v, want one reader", readers)
 	}
 }
+
+// What the module holds of hosts agrees with what crosses the sockets, with jobs in every stage and after some were lost.
+func TestBeliefs(t *testing.T) {
+	s := newStage(t)
+	hold := make(chan bool)
+	s.host("r1", "prefill", func(c net.Conn, r *http.Request, n int) bool {
+		if n%4 == 0 {
+			<-hold
+		}
+		return n%3 != 0 && read(c, r, n)
+	})
+	s.host("r2", "prefill", read)
+	s.host("w1", "decode", func(c net.Conn, r *http.Request, n int) bool {
+		if n%3 == 0 {
+			say(c, streamHead+chunk(event1))
+			<-hold
+			return false
+		}
+		return write(c, r, n)
+	})
+	s.host("w2", "decode", write)
+	s.start(1024)
+	for n := range 24 {
+		c := s.dial()
+		io.WriteString(c, request(jobName(n), "7f3a9c21e0b4d655", jobName(n), "5c0f6e1a2b3d4c59", jobName(n)))
+		if n%5 == 4 {
+			time.Sleep(5 * time.Millisecond)
+			c.Close()
+		}
+	}
+	agree := func() (out int) {
+		v, _ := s.node.View()
+		if len(v.Beliefs) != 4 {
+			t.Fatalf("beliefs of %d hosts", len(v.Beliefs))
+		}
+		for _, b := range v.Beliefs {
+			if b.Differs() {
+				t.Errorf("%s: %d unanswered and %d streams are believed, %d are out", b.Name, b.Waiting, b.Writing, b.Out)
+			}
+			out += b.Out
+		}
+		return out
+	}
+	for range 20 {
+		agree()
+		time.Sleep(5 * time.Millisecond)
+	}
+	if agree() == 0 {
+		t.Error("nothing is out: the test shows nothing")
+	}
+	close(hold)
+	until(t, "all ends", func() bool { return agree() == 0 })
+}
--- a/policy/told.go
+++ b/policy/told.go
@@ -206,3 +206,21 @@
 	}
 	d.weigh(now, j, h, x)
 }
+
+// Belief is what the module holds of a host, for whoever compares it with what is so.
+type Belief struct {
+	Unread  int64 // own prompt tokens sent there and not yet read
+	Waiting int32 // own launches there that have not answered
+	Writing int32 // own jobs there as a writer, begun or not
+	Aside   bool  // kept from new jobs, or on trial
+}
+
+// Believes tells what is held of a host; false if it is not known.
+func (d *Dispatcher) Believes(now Nanos, id HostID) (Belief, bool) {
+	i, ok := d.byID[id]
+	if !ok {
+		return Belief{}, false
+	}
+	h := &d.hosts[i]
+	return Belief{Unread: h.queued, Waiting: h.out, Writing: h.streams, Aside: now < h.aside || h.trial}, true
+}
