A host is set aside as failing only against its fellows

The log has 14 of 14 hosts among the lost launches, on first and later uses of connections alike, so neither a host nor kept connections are to blame; beliefs and sockets agree. The module set hosts aside as failing some 20 times a dispatcher, up to a third of the fleet at any time, and refused 24 to 30% while the rest queued (p50 1.6 s). The faulty line: judge (policy.go) holds a host's share of failures against a fixed limit only, where slowness is held against fellows.

Change: for errors and broken launches the share must also be three times the median of its role. What cannot be reached is set aside as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,7 @@
 	manySilent   = 6        // launches out at a reader that answers none: a queue would move
 	failKeep     = 0.8      // weight of the past in a host's share of failures
 	failLimit    = 0.3      // two failures in a row from clean, or one launch in three
+	failAgainst  = 3.0      // times its fellows' median share: what befalls all alike is no sickness of one
 	mostAside    = 3        // one host in so many may be set aside for slowness or failures
 	poorAnswer   = 1.0 / 2  // of the expected time, for one stage of two: a longer answer has waited too long
 	lateRead     = 1.0 / 4  // of the expected time: a read that takes longer has waited in a queue
@@ -190,7 +191,9 @@
 		}
 	}
 	h.doubt = h.doubt*failKeep + bad*(1-failKeep)
-	if bad > 0 && h.doubt > failLimit && now >= h.aside {
+	// Where launches fail at all hosts alike, by the network or by what is sent, to set some aside only leaves fewer.
+	alone := how == Unreachable || h.doubt > failAgainst*d.median(h.role, func(o *host) float64 { return o.doubt + 1e-9 })
+	if bad > 0 && h.doubt > failLimit && alone && now >= h.aside {
 		d.setAside(now, h, why, how == Failed || how == Broken)
 	}
 }
