Where launches break at all hosts alike a job may go to the same reader again

A read that broke there had mostly been read: launches ended 10 ms to 2.6 s after they were written, as their answers were due. LaunchEnded (told.go) shuns the host for the job whatever it was, so the prompt was read anew at another reader that kept nothing of it, up to six times (2.1 to 3.4 attempts a request, p50 1.4 to 2 s), and readers filled up.

Change: a job shuns a host that broke its launch only if that host fails far more often than its fellows.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -191,13 +191,18 @@
 		}
 	}
 	h.doubt = h.doubt*failKeep + bad*(1-failKeep)
-	// Where launches fail at all hosts alike, by the network or by what is sent, to set some aside only leaves fewer.
-	alone := how == Unreachable || h.doubt > failAgainst*d.median(h.role, func(o *host) float64 { return o.doubt + 1e-9 })
-	if bad > 0 && h.doubt > failLimit && alone && now >= h.aside {
+	if bad > 0 && h.doubt > failLimit && (how == Unreachable || d.alone(h)) && now >= h.aside {
 		d.setAside(now, h, why, how == Failed || how == Broken)
 	}
 }
 
+// alone tells that a host fails far more often than its fellows. Where launches fail at all hosts alike, by the
+// network or by what is sent, to set some aside only leaves fewer, and whoever has begun to read a prompt keeps
+// it: a job whose read broke may go there again.
+func (d *Dispatcher) alone(h *host) bool {
+	return h.doubt > failAgainst*d.median(h.role, func(o *host) float64 { return o.doubt + 1e-9 })
+}
+
 // setAside keeps new jobs from a host for a spell; then one job at a time tries it. A spell that follows
 // soon on the last one is twice as long, up to the time in which a host warms up, so that a long trouble
 // costs few trials.
--- a/policy/told.go
+++ b/policy/told.go
@@ -133,7 +133,7 @@
 	if (how == Failed || how == Late || how == Broken || how == Recalled || how == Lapsed) && h.role != Reader && !j.mayRun {
 		j.mayRun, j.ranAt, j.ranSince = true, j.at, j.sent
 	}
-	if how != Read && how != Stateless && how != Lapsed {
+	if how != Read && how != Stateless && how != Lapsed && (how != Broken || d.alone(h)) {
 		j.shun(j.at)
 	}
 	switch {
