--- a/internal/dispatch/seam.go
+++ b/internal/dispatch/seam.go
@@ -53,12 +53,12 @@
 	Wired                   // it was written to the host
 )
 
-// Listed tells the module news of the list: tell is called between its beginning and its end.
-func (d *Dispatcher) Listed(now loop.Nanos, full, any bool, tell func(mod Module)) {
+// Listed tells the module news of the list: tell is called between its beginning and its end; some, that they name a host.
+func (d *Dispatcher) Listed(now loop.Nanos, full, some bool, tell func(mod Module)) {
 	d.mod.ListBegin(full)
 	tell(d.mod)
 	d.mod.ListEnd(d.Time(now))
-	d.gate.Known = d.gate.Known || any
+	d.gate.Known = d.gate.Known || some
 }
 
 // ListLost tells the module that the list can't be had.
--- a/internal/front/platform/server.go
+++ b/internal/front/platform/server.go
@@ -193,9 +193,7 @@
 	if h := c.s.heap(c.stage); h != nil && c.place > 0 {
 		h.Take(c)
 	}
-	if c.stage == peers.Silent && stage == peers.Part {
-		// a first request counts from when its client connected
-	} else {
+	if c.stage != peers.Silent || stage != peers.Part { // a first request counts from when its client connected
 		c.since = c.now
 	}
 	c.stage = stage
