Times of the watch on the list and the bound of releases are decided in decide/pool

Need: read once more, the exit held three decisions of its own: how long a watch may be silent, when another is begun, how many releases may be under way.

Change: they stand in internal/decide/pool, with the same values.

--- a/internal/exit/platform/discovery.go
+++ b/internal/exit/platform/discovery.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 
+	"docksail/internal/decide/pool"
 	"docksail/internal/dispatch"
 	"docksail/internal/h1"
 	"docksail/internal/loop"
@@ -34,12 +35,7 @@
 
 var states = map[string]policy.Health{"Ready": policy.Serving, "Terminating": policy.Draining, "Gone": policy.Gone}
 
-const (
-	beats     = int64(2e9) // an empty line comes so often while nothing changes
-	quietMost = 2 * beats  // a watch that says nothing for longer is begun anew: news counts as told 6 s after it was due
-	retry     = int64(250e6)
-	listMost  = 8 << 20 // bytes of one object
-)
+const listMost = 8 << 20 // bytes of one object
 
 // discovery is the watch on the list.
 type discovery struct {
@@ -78,7 +74,7 @@
 
 // later tries again after a while.
 func (s *discovery) later(now loop.Nanos) {
-	s.x.l.At(&s.timer, now+retry, func(now loop.Nanos) {
+	s.x.l.At(&s.timer, now+pool.ListRetry, func(now loop.Nanos) {
 		if s.next == nil && s.at != nil && s.at.addr != s.addr {
 			if s.next = s.dial(now); s.next == nil {
 				s.later(now)
@@ -90,7 +86,7 @@
 
 func (s *discovery) dial(now loop.Nanos) *watch {
 	w := &watch{s: s, addr: s.addr, dec: h1.NewClient(h1.Limits{Head: headMost})}
-	lc, err := s.x.l.Dial(s.addr, quietMost, w)
+	lc, err := s.x.l.Dial(s.addr, pool.ListQuiet, w)
 	if err != nil {
 		s.x.log.Warn("discovery", "at", s.addr, "err", err)
 		s.x.d.ListLost(now)
@@ -132,7 +128,7 @@
 
 // heard sets the time in which the next sign of life must come.
 func (w *watch) heard(now loop.Nanos) {
-	w.s.x.l.At(&w.timer, now+quietMost, func(loop.Nanos) { w.lc.Close() })
+	w.s.x.l.At(&w.timer, now+pool.ListQuiet, func(loop.Nanos) { w.lc.Close() })
 }
 
 func (w *watch) Data(now loop.Nanos, p []byte) {
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -273,8 +273,6 @@
 	shot    policy.Shot
 }
 
-const mostReleases = 4096 // under way at once; more are left to the hosts' own time
-
 // LetGo implements dispatch.Exit: any host that runs takes a release.
 func (x *Exit) LetGo(now loop.Nanos, j *dispatch.Job, at policy.HostID, _ policy.Shot) {
 	if r := x.releases[j.ID]; r != nil { // one that is under way may have passed too early
@@ -284,7 +282,7 @@
 		return
 	}
 	x.Counts.Releases++
-	if len(x.releases) >= mostReleases {
+	if !pool.MayRelease(len(x.releases)) {
 		x.Counts.ReleasesLost++
 		return
 	}
