A connection whose stream ends after the door has closed ends with it; late requests are refused

Cause: a stream begun before the signal had no 'Connection: close' in its head; answer.go, done, let its connection stand at rest again after the door had closed, and server.go, whole, took the next request on it. Ruled out: new connections (the listener had closed 0.5 s after the signal) and resting ones (closed then).

After the door has closed a connection without a request ends its output and what comes is thrown away; requests that are whole more than 0.625 s after the signal are refused at once. A resting connection ends the same way in service, not by a close over what may just come.

The new test fails without it (second request served, no end of the connection).

--- a/internal/decide/peers/peers.go
+++ b/internal/decide/peers/peers.go
@@ -100,7 +100,26 @@
 const (
 	// comeWithin is for how long after a signal to leave new connections are still dealt out to us.
 	comeWithin = second / 2
+	// servedWithin is for how long after the door has closed a request is still served: what came later than 0.7 s after
+	// the signal may find the process killed before its answer, so it is refused at once.
+	servedWithin = comeWithin / 4
 )
 
 // LeaveAfter tells when the door closes after the signal to leave.
 func LeaveAfter(now int64) int64 { return now + comeWithin }
+
+// RefuseAfter tells from when on requests are refused after the door has closed.
+func RefuseAfter(closed int64) int64 { return closed + servedWithin }
+
+// Next tells what a connection is about when its answer has ended, or at rest when the door closes. last: the client was
+// told that the connection ends; closed: the door is; unread: something has come on it that is not read. Who closes a connection over unread bytes
+// resets it, and what was written last may be lost with it: the output ends first, and what comes is thrown away.
+func Next(last, closed, unread bool) Stage {
+	switch {
+	case last, closed && !unread:
+		return Over
+	case closed:
+		return Silent
+	}
+	return Resting
+}
--- a/internal/decide/peers/peers_test.go
+++ b/internal/decide/peers/peers_test.go
@@ -21,6 +21,18 @@
 	}
 }
 
+// At the closing of the door a connection is never closed over unread bytes, and none goes on resting.
+func TestNext(t *testing.T) {
+	for _, c := range []struct {
+		last, closed, unread bool
+		want                 Stage
+	}{{false, false, false, Resting}, {true, false, false, Over}, {false, true, false, Over}, {false, true, true, Silent}, {true, true, true, Over}} {
+		if got := Next(c.last, c.closed, c.unread); got != c.want {
+			t.Errorf("last %v, closed %v, unread %v: %d, want %d", c.last, c.closed, c.unread, got, c.want)
+		}
+	}
+}
+
 // Whatever the limit, the shares fit into it and hosts have as many as clients may hold for requests.
 func TestShares(t *testing.T) {
 	for n := 64; n <= 4096; n += 7 {
--- a/internal/front/platform/answer.go
+++ b/internal/front/platform/answer.go
@@ -21,7 +21,7 @@
 // answer gives an answer that is no stream; after is when to come back, 0 = not told.
 func (c *conn) answer(status int, after loop.Nanos, why string) {
 	c.s.Counts.Answers[status/100]++
-	c.last = c.last || c.s.leaving
+	c.last = c.last || c.ends()
 	b := append(c.s.scratch[:0], "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(append(append(b, ' '), http.StatusText(status)...), "\r\nContent-Type: application/json\r\n"...)
@@ -47,6 +47,9 @@
 	c.done()
 }
 
+// ends tells that the answer under way is the connection's last: the dispatcher leaves, and no request stands behind it.
+func (c *conn) ends() bool { return c.s.leaving && c.waiting() == 0 }
+
 // appendSeconds writes a span in seconds with three decimals, rounded up.
 func appendSeconds(b []byte, span loop.Nanos) []byte {
 	ms := (span + 1e6 - 1) / 1e6
@@ -61,13 +64,9 @@
 	}
 	c.dropBody()
 	c.begun = false
-	if c.last {
-		c.stand(peers.Over)
-		c.lc.EndOutput()
-		c.lc.Pause(false)
+	if c.next(); c.stage == peers.Over {
 		return
 	}
-	c.stand(peers.Resting)
 	if !c.taking { // what has come meanwhile
 		c.lc.Pause(false)
 		c.pull(nil)
@@ -82,7 +81,7 @@
 	if !c.begun {
 		c.begun = true
 		c.s.Counts.Answers[2]++
-		c.last = c.last || c.s.leaving
+		c.last = c.last || c.ends()
 		c.lc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"))
 		if c.last {
 			c.lc.Write([]byte("Connection: close\r\n"))
--- a/internal/front/platform/server.go
+++ b/internal/front/platform/server.go
@@ -48,6 +48,7 @@
 	ln      *loop.Listener
 	leaving bool
 	closed  bool
+	refuses bool // what comes is refused: the process may be killed before it could be answered
 	n       int
 	number  uint64               // of the last connection
 	stages  [3]order.Heap[*conn] // silent or in part, resting, over: by since when
@@ -91,23 +92,38 @@
 func (s *Server) Leave() {
 	s.leaving = true
 	var t loop.Timer
-	s.l.At(&t, peers.LeaveAfter(s.l.Now()), func(loop.Nanos) {
+	s.l.At(&t, peers.LeaveAfter(s.l.Now()), func(now loop.Nanos) {
 		s.ln.Finish()
 		s.closed = true
 		resting := &s.stages[1]
-		for n := resting.Len(); n > 0; n-- { // one whose next request has come already is served first
+		for n := resting.Len(); n > 0; n-- { // one whose next request has come already has an answer first
 			c := resting.Min()
-			resting.Take(c)
-			if c.lc.Quiet() {
-				c.lc.Close()
-			} else {
-				c.stand(peers.Silent)
-			}
+			c.now = now
+			c.next()
 		}
+		s.l.At(&t, peers.RefuseAfter(now), func(loop.Nanos) { s.refuses = true })
 		s.l.Again()
 	})
 }
 
+// waiting is how many bytes have come behind the request that is or was in hand.
+func (c *conn) waiting() int {
+	if c.taking {
+		return c.behind
+	}
+	return c.feed.Waiting()
+}
+
+// next has the connection stand for what follows when no request of it is in hand.
+func (c *conn) next() {
+	stage := peers.Next(c.last, c.s.closed, c.s.closed && (c.waiting() > 0 || !c.lc.Quiet()))
+	c.stand(stage)
+	if stage == peers.Over {
+		c.lc.EndOutput()
+		c.lc.Pause(false)
+	}
+}
+
 func (s *Server) accept(lc *loop.Conn, _ netip.AddrPort) loop.Handler {
 	if s.n >= s.most && !s.makeRoom() {
 		s.Counts.Shut++
@@ -171,6 +187,7 @@
 	begun   bool // the head of an answer has been sent
 	last    bool // the connection ends with this answer
 	taking  bool
+	behind  int // bytes that stand behind the request that is being taken
 	thrown  int64
 	gone    bool
 }
@@ -214,6 +231,11 @@
 		c.refuse(408, "the request did not come in time")
 		return
 	}
+	if c.stage == peers.Resting {
+		c.last = true
+		c.next()
+		return
+	}
 	c.lc.Close()
 }
 
@@ -267,6 +289,7 @@
 		case piece == h1.Data:
 			c.keep(data)
 		case piece == h1.Whole:
+			c.behind = len(p) - n
 			c.whole()
 		}
 	}
@@ -352,6 +375,11 @@
 	}
 	c.s.Counts.Requests++
 	c.stand(peers.Busy)
+	if c.s.refuses {
+		c.dropBody()
+		c.Nack(0, front.Refusal{Why: "the dispatcher leaves"})
+		return
+	}
 	id, err := c.s.core.Arrive(c.now, c, r)
 	c.dropBody()
 	var no front.Refusal
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -430,6 +430,53 @@
 	}
 }
 
+// A stream that had begun before the dispatcher was told to leave goes out whole and is its connection's last; whatever
+// comes late is refused at once, as the process may be killed before an answer.
+func TestLeaveUnderStreams(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", read)
+	let := make(chan bool)
+	s.host("writer", "decode", func(c net.Conn, _ *http.Request, _ int) bool {
+		say(c, streamHead+chunk(event1))
+		<-let
+		return say(c, chunk(event2)+"0\r\n\r\n")
+	})
+	s.start(1024)
+	c, slow := s.dial(), s.dial()
+	io.WriteString(c, request(jobName(1)))
+	in := bufio.NewReader(c)
+	res, err := http.ReadResponse(in, nil)
+	if err != nil || res.Close {
+		t.Fatalf("%v, %v", res, err)
+	}
+	text := request(jobName(2))
+	io.WriteString(slow, text[:20])
+	s.node.Leave()
+	until(t, "the door is closed", func() bool {
+		late, err := net.Dial("tcp", s.node.addr.String())
+		if err == nil {
+			late.Close()
+		}
+		return err != nil
+	})
+	time.Sleep(200 * time.Millisecond) // past the time in which requests are still served
+	io.WriteString(slow, text[20:])
+	if res, err := http.ReadResponse(bufio.NewReader(slow), nil); err != nil || res.StatusCode != 503 || !res.Close {
+		t.Errorf("a request that came late: %v, %v", res, err)
+	}
+	close(let)
+	if got, err := io.ReadAll(res.Body); string(got) != answer || err != nil {
+		t.Errorf("the stream: %q, %v", got, err)
+	}
+	io.WriteString(c, request(jobName(3)))
+	if b, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("after the stream: %q, %v, want the end", b, err)
+	}
+	if n := s.jobsAt("reader"); n != 1 {
+		t.Errorf("%d reads, want 1", n)
+	}
+}
+
 // Where descriptors are short, clients that say nothing and such as rest give way to those that ask.
 func TestDescriptorsShort(t *testing.T) {
 	s := newStage(t)
