The module is told since when a state counts as held, where a launch may never have come

HeldSince: a state whose launches were in vain keeps the time of its read's end, is let go of when it is too old for another launch and read anew, or is known to be gone. Nothing calls it yet; the simulator's adapter does not, as there every launch that is out is known to have come.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,6 +52,22 @@
 	d.lookAt = min(d.lookAt, d.watchAt)
 }
 
+// HeldSince tells, after a launch that may never have come to its host has ended, since when what is held for its job
+// counts as held; Never: it has been let go of. It keeps rule five where writers fall silent: there each
+// launch in vain would put the time for letting go off. A state too old for another launch is read anew.
+func (d *Dispatcher) HeldSince(now Nanos, id JobID, since Nanos) {
+	_, j := d.jobs.find(id)
+	switch {
+	case j == nil || !j.held || j.out:
+	case since == Never:
+		j.held, j.phase = false, toRead
+	default:
+		if j.heldFrom = since; now >= since+Nanos(holdMargin*float64(d.release)) {
+			j.phase = toRead
+		}
+	}
+}
+
 // look goes over all that is in hand: jobs that fell due, marks that ran out, hosts against their fellows.
 func (d *Dispatcher) look(now Nanos) {
 	d.lookAt = Never
--- a/policy/scenario_test.go
+++ b/policy/scenario_test.go
@@ -18,7 +18,8 @@
 //	restored-failed                    the list could not be had
 //	at T                               time goes on; wakes that fall due on the way are delivered
 //	job ID [prompt=N shared=N prefix=K session=K patience=T tenant=N]
-//	began ID | ended ID OUTCOME [after=T] [over] | left ID
+//	began ID | ended ID OUTCOME [after=T] [held=T] [over] | left ID
+//	                                   held: since then its state counts as held, 0 = it was let go of
 //	expect VERB [ID] [on HOST[|HOST]] [for T]  the next decision, wakes and log lines left out
 //	tally HOST                         launches on HOST among the decisions now taken are counted
 //	between A B                        the count is within these; it starts anew
@@ -144,7 +145,7 @@
 		p.start()
 	}
 	opts := map[string]int{"zone": 0, "cell": 0, "launched": 0, "prompt": 500, "shared": 0, "prefix": 0, "session": 0,
-		"patience": p.set["patience"], "tenant": -1, "after": 50, "health": 0}
+		"patience": p.set["patience"], "tenant": -1, "after": 50, "health": 0, "held": -1}
 	for _, o := range w {
 		if k, v, ok := strings.Cut(o, "="); ok {
 			if _, known := opts[k]; !known {
@@ -200,6 +201,11 @@
 			p.t.Fatalf("%s: unknown outcome", p.at)
 		}
 		p.d.LaunchEnded(p.now, JobID(id), p.shots[id], how, Nanos(opts["after"])*ms, over, NoLoad)
+		if held := opts["held"]; held == 0 {
+			p.d.HeldSince(p.now, JobID(id), Never)
+		} else if held > 0 {
+			p.d.HeldSince(p.now, JobID(id), Nanos(held)*ms)
+		}
 	case "left":
 		p.d.ClientLeft(p.now, JobID(id))
 	case "expect":
