What silent writers were to take is let go of in time: launches without a sign keep no state

Ruled out: releases themselves (Releases equals ReleaseTries in all counts but one; 'release over' took 0.3 to 1.2 ms).

A launch counts as come if its connection was made for it or its host was heard since. Dispatch logs single launches and releases at debug level, for such traces.

--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -84,6 +84,17 @@
 // request since then and nothing at all was heard from the host after it.
 func Distrust(sent, heard int64) bool { return heard <= sent }
 
+// Reached tells that a request written on a connection that is used for the so-many-th time has come to its host: the connection was
+// made for it, or the host was heard since.
+func Reached(used int, sent, heard int64) bool { return used <= 1 || heard > sent }
+
+// freeShare of the time for letting go a state waits for a launch that may not have come to its host: while it has not,
+// the host counts the state as held for nobody.
+const freeShare = 0.6
+
+// Free tells when a state read then is let go of beside such a launch.
+func (k Keeper) Free(read int64) int64 { return read + int64(freeShare*float64(k.Release)) }
+
 // mostReleases may be under way at once; more are left to the hosts' own time.
 const mostReleases = 4096
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -40,6 +41,7 @@
 	LaunchEnded(now policy.Nanos, id policy.JobID, shot policy.Shot, how policy.Outcome, elapsed policy.Nanos,
 		over bool, load policy.Load)
 	ClientLeft(now policy.Nanos, id policy.JobID)
+	HeldSince(now policy.Nanos, id policy.JobID, since policy.Nanos)
 	Woken(now policy.Nanos)
 	Next(now policy.Nanos) (policy.Decision, bool)
 }
@@ -50,6 +52,7 @@
 
 	l       *loop.Loop
 	log     *slog.Logger
+	traces  bool // the log takes lines of single jobs
 	mod     Module
 	clients Entry
 	rpc     *grpc.Server // the door, where it is gRPC's
@@ -129,8 +132,9 @@
 	Host    policy.HostID // where it goes
 	Reads   bool          // it is a read
 	Sent    loop.Nanos
-	Within  int64   // its time
-	rpc     sending // how the gRPC exit holds it
+	Within  int64      // its time
+	ReadAt  loop.Nanos // its last read ended
+	rpc     sending    // how the gRPC exit holds it
 	timer   loop.Timer
 	onTimer func(loop.Nanos)
 	d       *Dispatcher
@@ -213,7 +217,7 @@
 
 // bare makes what all dispatchers have, and gives the shortest expected time.
 func bare(l *loop.Loop, log *slog.Logger, mod Module, names []string, tracks []policy.Track, life uint64) (*Dispatcher, int64) {
-	d := &Dispatcher{l: l, log: log, mod: mod, life: life, wall: l.Wall(), tracks: make(map[string]policy.TrackID),
+	d := &Dispatcher{l: l, log: log, traces: log.Enabled(context.Background(), slog.LevelDebug), mod: mod, life: life, wall: l.Wall(), tracks: make(map[string]policy.TrackID),
 		tenants: make(map[string]policy.TenantID)}
 	shortest := int64(tracks[0].Expected)
 	for i, t := range tracks {
@@ -688,14 +692,20 @@
 	}
 	d.l.Cancel(&j.timer)
 	sent := j.sent
+	lost := !j.Reads && j.begun == 0 && (sent == nil || !sent.Reached())
 	cut := sent != nil && sent.End(now)
 	// A read that was cut off may have ended all the same: what it left is let go.
 	cut = j.Reads && (cut || how == policy.Broken || how == policy.Late || how == policy.Lapsed)
 	j.sent, j.waits = nil, 0
 	j.End(shot)
+	if d.traces {
+		d.log.Debug("launch over", "job", string(j.Named), "shot", shot, "host", j.Host, "read", j.Reads, "how", how, "sent", d.Time(j.Sent), "took", now-j.Sent,
+			"begun", j.begun > 0, "answered", j.Answered())
+	}
 	switch how {
 	case policy.Read:
 		j.Hold(j.Host)
+		j.ReadAt = now
 	case policy.Broken:
 		d.Counts.Broken++
 	}
@@ -703,6 +713,13 @@
 		d.exit.LetGo(now, j, j.Host, shot)
 	}
 	d.mod.LaunchEnded(d.Time(now), j.ID, shot, how, policy.Nanos(now-j.Sent), over || j.Answered(), load)
+	if lost {
+		since := policy.Never
+		if _, held := j.Held(); held {
+			since = d.Time(j.ReadAt)
+		}
+		d.mod.HeldSince(d.Time(now), j.ID, since)
+	}
 	if sent != nil {
 		sent.Over(now)
 	}
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -141,6 +141,10 @@
 	}
 }
 
+// Reached implements Sent: on a connection that is asked for signs of life, what was written is taken to have come.
+func (s *sending) Reached() bool { return s.Stage() == Wired }
+
+// Stage implements Sent.
 func (s *sending) Stage() Stage {
 	switch {
 	case s.stream != nil:
--- a/internal/dispatch/seam.go
+++ b/internal/dispatch/seam.go
@@ -42,6 +42,8 @@
 	Credit(n int)
 	// Stage is how far it has come.
 	Stage() Stage
+	// Reached tells that there is a sign that it came to the host; a host that is cut off gives none.
+	Reached() bool
 }
 
 // Stage is how far a launch has come.
@@ -112,6 +114,14 @@
 	d.settle(j)
 }
 
+// Free lets go of what is held for a job beside the launch that is out and may never come to its host.
+func (d *Dispatcher) Free(now loop.Nanos, j *Job) {
+	if at, held := j.Held(); held {
+		j.LetGo()
+		d.exit.LetGo(now, j, at, policy.Shot(j.Launches()-1))
+	}
+}
+
 // Moved tells that a launch is from now on held as s; nil: it could not be sent after all.
 func (d *Dispatcher) Moved(now loop.Nanos, j *Job, s Sent) {
 	if j.sent = s; s == nil {
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -71,10 +71,15 @@
 	c.x.forgetGone(c.h)
 }
 
-// due closes it when it has stood idle for long enough.
-func (c *conn) due(loop.Nanos) {
-	if c.idle {
+// due closes it when it has stood idle for long enough. If it carries a launch that is to take a state, and no sign has
+// come that the host got it, the state is let go of meanwhile: a launch that waits for it at its writer keeps it all the same.
+func (c *conn) due(now loop.Nanos) {
+	switch {
+	case c.idle:
 		c.retire()
+	case c.j != nil && !c.Reached():
+		c.x.Counts.Freed++
+		c.x.d.Free(now, c.j)
 	}
 }
 
@@ -104,6 +109,9 @@
 	b = append(append(b, "\r\n\r\n"...), j.Raw...)
 	c.x.scratch = b
 	c.lc.Write(b)
+	if _, held := j.Held(); held && !c.Reached() {
+		c.x.l.At(&c.timer, max(c.x.keeper.Free(j.ReadAt), now+1), c.onTimer)
+	}
 }
 
 func (c *conn) writeRelease() {
@@ -119,6 +127,7 @@
 
 func (c *conn) Opened(now loop.Nanos) {
 	c.ready = true
+	c.h.heard = now
 	switch {
 	case c.j != nil:
 		c.writeLaunch(now)
@@ -355,6 +364,9 @@
 	}
 }
 
+// Reached implements dispatch.Sent.
+func (c *conn) Reached() bool { return c.ready && pool.Reached(c.used, c.sent, c.h.heard) }
+
 // Stage implements dispatch.Sent.
 func (c *conn) Stage() dispatch.Stage {
 	if c.ready {
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -31,6 +31,7 @@
 	Spoilt, Extra                           uint64 // answers that could not be read; bytes that belong to none
 	Releases, ReleaseTries, ReleasesLost    uint64
 	Reports, Lapsed                         uint64
+	Freed                                   uint64     // states let go of beside a launch that may not have come to its host
 	Rested                                  [12]uint64 // launches on connections used before, by how long those had rested: under 16 ms, 32, ...
 	LapsedAt                                [12]uint64 // of these, the ones that lapsed
 	News, Watches                           uint64
@@ -342,6 +343,7 @@
 // done ends it, answered or given up.
 func (r *release) done(now loop.Nanos) {
 	x := r.x
+	x.log.Debug("release over", "job", string(r.name), "tries", r.tried, "took", now-r.begun)
 	x.l.Cancel(&r.timer)
 	delete(x.releases, r.job)
 	r.on = nil
@@ -370,3 +372,6 @@
 
 // Stage implements dispatch.Sent.
 func (r *release) Stage() dispatch.Stage { return dispatch.Queued }
+
+// Reached implements dispatch.Sent.
+func (r *release) Reached() bool { return false }
--- a/internal/lab/plain/plain.go
+++ b/internal/lab/plain/plain.go
@@ -185,6 +185,8 @@
 	}
 }
 
+func (m *Module) HeldSince(policy.Nanos, policy.JobID, policy.Nanos) {}
+
 func (m *Module) LaunchEnded(now policy.Nanos, id policy.JobID, _ policy.Shot, how policy.Outcome, _ policy.Nanos, over bool, _ policy.Load) {
 	j := m.jobs[id]
 	if j == nil || !j.isOut {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -310,6 +310,35 @@
 	}
 }
 
+// A writer that falls silent on a kept connection may be cut off, and never have heard of the job: what was read is let
+// go of in its time all the same.
+func TestReleaseBesideSilence(t *testing.T) {
+	s := newStage(t)
+	s.terms = []string{`"on_time_ns":1500000000`, `"on_time_ns":6000000000`} // so long that nothing is recalled
+	hung := make(chan bool)
+	s.host("reader", "prefill", read)
+	s.host("writer", "decode", func(c net.Conn, r *http.Request, n int) bool {
+		if n > 1 {
+			<-hung
+		}
+		return write(c, r, n)
+	})
+	s.start(1024)
+	defer close(hung)
+	c := s.dial()
+	s.served(c, 1)
+	time.Sleep(15 * time.Millisecond) // so long a connection rests
+	io.WriteString(c, request(jobName(2)))
+	released := func() []seen {
+		return s.got(func(x seen) bool { return x.method == "DELETE" && x.path == "/state/"+jobName(2) })
+	}
+	until(t, "a release", func() bool { return len(released()) > 0 })
+	read := s.got(func(x seen) bool { return x.host == "reader" && x.name == jobName(2) })[0]
+	if after := released()[0].at.Sub(read.at); after > 1300*time.Millisecond {
+		t.Errorf("released after %v, want 1 s and what the rule allows", after)
+	}
+}
+
 // The jobs that find no host are answered at once, with when to come back.
 func TestNack(t *testing.T) {
 	s := newStage(t)
--- a/internal/node/stage_test.go
+++ b/internal/node/stage_test.go
@@ -37,6 +37,7 @@
 	conns int
 	watch chan exit.List // news for whoever watches
 	froms []string       // what watches asked for
+	terms []string       // pieces of the settings and what stands in their place, pairwise
 }
 
 // script answers a request; false: the connection is to be closed.
@@ -173,7 +174,7 @@
 // start puts the dispatcher between them.
 func (s *stage) start(sockets int) {
 	s.told = &Told{Name: "n0", Listen: netip.MustParseAddrPort("127.0.0.1:0"), Discovery: s.discovery(), Seed: "8c1f30d27a5be964",
-		Settings: json.RawMessage(settings)}
+		Settings: json.RawMessage(strings.NewReplacer(s.terms...).Replace(settings))}
 	s.told.Limits.Sockets, s.told.Limits.Memory, s.told.Known = sockets, 96, exit.List{Version: 41, Full: true, Servers: s.hosts}
 	n, err := Run(s.told, slog.New(slog.DiscardHandler))
 	if err != nil {
