Lists are taken in any form, silent watches begun anew in time, the agent asked before the first job

Now objects are taken apart by their brackets, however indented or cut; the times stand in decide/watch with their reasons (3 s of silence, 0.5 s to connect and to begin an answer, retries from 0.25 s to 1 s with seeded jitter); there is one watch at work and one under way at most; a new process asks for the whole list and takes clients with its first news, or after 0.25 s.

--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -100,11 +100,3 @@
 
 // MayRelease tells whether one more release may be begun beside n.
 func MayRelease(n int) bool { return n < mostReleases }
-
-const (
-	beat = int64(2e9) // a watch on the list gives a sign of life so often
-	// ListQuiet is how long a watch may say nothing before it is begun anew: news counts as told three beats after it was due.
-	ListQuiet = 2 * beat
-	// ListRetry is how long after a lost watch another is begun.
-	ListRetry = beat / 8
-)
--- /dev/null
+++ b/internal/decide/watch/watch.go
@@ -0,0 +1,30 @@
+// Package watch decides about the watch on the list of hosts: when one that says nothing is given up, when the next is begun, and
+// how long a new process waits for what its agent knows. It does no I/O and reads no clock.
+//
+// What discovery tells counts as told six seconds after it could be reached, heard or not. In that time a watch that
+// fell silent just after its last byte has to be noticed, one try to begin another may fail, and the next has to succeed.
+package watch
+
+const (
+	// beat is how often a watch on which nothing changes gives a sign of life.
+	beat = int64(2e9)
+	// Quiet is how long a watch may say nothing: a beat, and half of one for a busy machine.
+	Quiet = beat + beat/2
+	// Answer is how long a new watch may take to be connected, and then to begin its answer: the agent is on this machine.
+	Answer = beat / 4
+	// First is how long a new process waits for the list before it takes clients; after that it goes by the list it was started with.
+	First = beat / 8
+
+	retryLeast = beat / 8
+	retryMost  = beat / 2
+)
+
+// Retry tells how long after a watch was lost or not to be had another is begun: failures is how many in a row were
+// not to be had, and chance in [0, 1) spreads what all dispatchers do at once.
+func Retry(failures int, chance float64) int64 {
+	if failures == 0 { // one that worked was cut: all of them, it may be
+		return int64(chance * float64(retryLeast))
+	}
+	wait := min(retryLeast<<min(failures-1, 8), retryMost)
+	return wait/2 + int64(chance*float64(wait/2))
+}
--- a/internal/enlist/enlist.go
+++ b/internal/enlist/enlist.go
@@ -76,6 +76,7 @@
 	Terms  []policy.Track // of the tracks
 	Tenant []string
 
+	Seed    uint64       // of all chance
 	Release policy.Nanos // nothing is held longer for a job that is over
 	Advice  policy.Nanos // longest
 	Idle    policy.Nanos // a host ends a connection that stood idle so long; 0 = not told
@@ -140,7 +141,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("setup: %w", err)
 	}
-	m.Module, m.Release, m.Advice = d, policy.Nanos(*s.Family.Release), policy.Nanos(s.Limits.MaxAdvice)
+	m.Module, m.Seed, m.Release, m.Advice = d, seed, policy.Nanos(*s.Family.Release), policy.Nanos(s.Limits.MaxAdvice)
 	m.Idle, m.Connect = policy.Nanos(s.Limits.Idle), policy.Nanos(s.Limits.Connect)
 	return m, nil
 }
--- a/internal/exit/platform/discovery.go
+++ b/internal/exit/platform/discovery.go
@@ -1,14 +1,13 @@
 package platform
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
 	"slices"
 	"strconv"
 
-	"docksail/internal/decide/pool"
+	decide "docksail/internal/decide/watch"
 	"docksail/internal/dispatch"
 	"docksail/internal/h1"
 	"docksail/internal/loop"
@@ -35,25 +34,43 @@
 
 var states = map[string]policy.Health{"Ready": policy.Serving, "Terminating": policy.Draining, "Gone": policy.Gone}
 
-const listMost = 8 << 20 // bytes of one object
-
-// discovery is the watch on the list.
+// discovery follows the list.
 type discovery struct {
-	x       *Exit
-	addr    netip.AddrPort
-	at      *watch // the one whose news counts
-	next    *watch // one at a new address, until it speaks
-	version int64
-	timer   loop.Timer
+	x        *Exit
+	addr     netip.AddrPort
+	at       *watch // the one whose news counts
+	next     *watch // one that has not answered yet
+	failures int    // watches in a row that were not to be had
+	version  int64  // of the last news; -1 = a whole list is to be asked for
+	timer    loop.Timer
+	onTimer  func(loop.Nanos)
+	onNews   func() // the first news of this process, once
 }
 
-func (s *discovery) init(x *Exit, addr netip.AddrPort) { *s = discovery{x: x, addr: addr, version: -1} }
+func (s *discovery) init(x *Exit, addr netip.AddrPort) {
+	*s = discovery{x: x, addr: addr, version: -1, onTimer: s.watch}
+}
 
-// watch begins to watch, if it is not done already.
+// watch begins a watch, if none at the address is under way or at work.
 func (s *discovery) watch(now loop.Nanos) {
-	if s.at == nil {
-		s.at = s.dial(now)
+	if s.next != nil || s.at != nil && s.at.addr == s.addr {
+		return
 	}
+	w := &watch{s: s, addr: s.addr, dec: h1.NewClient(h1.Limits{Head: headMost})}
+	lc, err := s.x.l.Dial(s.addr, decide.Answer, w)
+	if err != nil {
+		s.x.log.Warn("discovery", "at", s.addr, "err", err)
+		s.failures++
+		s.later(now)
+		return
+	}
+	s.x.Counts.Watches++
+	w.lc, s.next = lc, w
+}
+
+// later tries again after a while.
+func (s *discovery) later(now loop.Nanos) {
+	s.x.l.At(&s.timer, now+max(decide.Retry(s.failures, s.x.rng.Float64()), 1), s.onTimer)
 }
 
 // Discovery has the list watched at another address; the old watch goes when the new one speaks.
@@ -62,40 +79,12 @@
 	if addr == s.addr {
 		return
 	}
-	s.addr = addr
+	s.addr, s.failures = addr, 0
 	if s.next != nil {
 		s.next.end()
+		s.next = nil
 	}
-	s.next = s.dial(now)
-	if s.next == nil {
-		s.later(now)
-	}
-}
-
-// later tries again after a while.
-func (s *discovery) later(now loop.Nanos) {
-	s.x.l.At(&s.timer, now+pool.ListRetry, func(now loop.Nanos) {
-		if s.next == nil && s.at != nil && s.at.addr != s.addr {
-			if s.next = s.dial(now); s.next == nil {
-				s.later(now)
-			}
-		}
-		s.watch(now)
-	})
-}
-
-func (s *discovery) dial(now loop.Nanos) *watch {
-	w := &watch{s: s, addr: s.addr, dec: h1.NewClient(h1.Limits{Head: headMost})}
-	lc, err := s.x.l.Dial(s.addr, pool.ListQuiet, w)
-	if err != nil {
-		s.x.log.Warn("discovery", "at", s.addr, "err", err)
-		s.x.d.ListLost(now)
-		s.later(now)
-		return nil
-	}
-	s.x.Counts.Watches++
-	w.lc = lc
-	return w
+	s.watch(now)
 }
 
 // watch is one connection to discovery.
@@ -105,9 +94,10 @@
 	lc    *loop.Conn
 	dec   h1.Decoder
 	feed  h1.Feeder
-	line  []byte
+	list  values
 	timer loop.Timer
 	over  bool
+	quiet bool // it was given up as it said nothing
 }
 
 func (w *watch) end() {
@@ -123,16 +113,19 @@
 	}
 	b = append(append(append(b, " HTTP/1.1\r\nHost: "...), w.addr.String()...), "\r\n\r\n"...)
 	w.lc.Write(b)
-	w.heard(now)
+	w.within(now, decide.Answer)
 }
 
-// heard sets the time in which the next sign of life must come.
-func (w *watch) heard(now loop.Nanos) {
-	w.s.x.l.At(&w.timer, now+pool.ListQuiet, func(loop.Nanos) { w.lc.Close() })
+// within sets the time in which the next sign of life must come.
+func (w *watch) within(now loop.Nanos, span int64) {
+	w.s.x.l.At(&w.timer, now+span, func(loop.Nanos) {
+		w.quiet = true
+		w.lc.Close()
+	})
 }
 
 func (w *watch) Data(now loop.Nanos, p []byte) {
-	w.heard(now)
+	w.within(now, decide.Quiet)
 	w.feed.Feed(p, func(p []byte) (n int) {
 		for !w.over {
 			piece, data, k, err := w.dec.Next(p[n:])
@@ -141,9 +134,9 @@
 			case err == nil && piece == h1.None:
 				return n
 			case err == nil && piece == h1.Start && w.dec.Head.Status == 200:
-				w.speaks(now)
+				w.speaks()
 			case err == nil && piece == h1.Data:
-				err = w.lines(now, data)
+				err = w.list.feed(data, func(text []byte) error { return w.news(now, text) })
 			default:
 				if err == nil {
 					err = fmt.Errorf("answer with status %d, or its end", w.dec.Head.Status)
@@ -160,39 +153,31 @@
 }
 
 // speaks makes this watch the one that counts.
-func (w *watch) speaks(loop.Nanos) {
+func (w *watch) speaks() {
 	s := w.s
-	if s.next == w {
-		old := s.at
-		s.at, s.next = w, nil
-		if old != nil {
-			old.end()
-		}
-		s.x.log.Info("discovery", "at", w.addr)
+	if s.next != w {
+		return
 	}
+	old := s.at
+	s.at, s.next, s.failures = w, nil, 0
+	if old != nil {
+		old.end()
+	}
+	s.x.log.Info("discovery", "at", w.addr)
 }
 
-// lines takes the objects that have come whole, one a line.
-func (w *watch) lines(now loop.Nanos, data []byte) error {
-	w.line = append(w.line, data...)
-	for {
-		line, rest, ok := bytes.Cut(w.line, []byte{'\n'})
-		if !ok {
-			if len(w.line) > listMost {
-				return h1.ErrTooLarge
-			}
-			return nil
-		}
-		line = bytes.TrimSpace(line)
-		if len(line) > 0 {
-			var list List
-			if err := json.Unmarshal(line, &list); err != nil {
-				return fmt.Errorf("news %.60q: %w", line, err)
-			}
-			w.s.x.Take(now, list)
-		}
-		w.line = w.line[:copy(w.line, rest)]
+// news takes one object of the watch.
+func (w *watch) news(now loop.Nanos, text []byte) error {
+	var list List
+	if err := json.Unmarshal(text, &list); err != nil {
+		return fmt.Errorf("news %.60q: %w", text, err)
 	}
+	w.s.x.Take(now, list)
+	if f := w.s.onNews; f != nil {
+		w.s.onNews = nil
+		f()
+	}
+	return nil
 }
 
 func (w *watch) PeerDone(loop.Nanos) { w.lc.Close() }
@@ -205,15 +190,17 @@
 		return
 	}
 	w.over = true
-	s.x.log.Warn("discovery lost", "at", w.addr, "err", err)
+	s.x.log.Warn("discovery lost", "at", w.addr, "quiet", w.quiet, "spoke", s.at == w, "err", err)
 	switch w {
 	case s.at:
 		s.at = nil
-		if s.next != nil { // it takes over
-			s.at, s.next = s.next, nil
+		if w.quiet { // it has been out of reach for long enough
+			s.watch(now)
+			return
 		}
 	case s.next:
 		s.next = nil
+		s.failures++
 	}
 	s.later(now)
 }
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -5,6 +5,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 
@@ -57,6 +58,7 @@
 	idle     order.Heap[*conn] // by since when
 	releases map[policy.JobID]*release
 	list     discovery
+	rng      *rand.Rand
 	scratch  []byte
 	ways     []pool.Way
 	number   uint64
@@ -73,6 +75,7 @@
 	x.keeper.Connect = x.connect
 	x.idle = order.Heap[*conn]{Place: func(c *conn) *int { return &c.place },
 		Less: func(a, b *conn) bool { return a.since < b.since || a.since == b.since && a.number < b.number }}
+	x.rng = rand.New(rand.NewPCG(m.Seed, 0))
 	x.list.init(x, discovery)
 	return x
 }
@@ -105,6 +108,9 @@
 // Start implements dispatch.Exit.
 func (x *Exit) Start(now loop.Nanos) { x.list.watch(now) }
 
+// OnNews has f called with the first news of this process.
+func (x *Exit) OnNews(f func()) { x.list.onNews = f }
+
 // Watch implements dispatch.Exit.
 func (x *Exit) Watch(now loop.Nanos) { x.list.watch(now) }
 
--- a/internal/front/platform/server.go
+++ b/internal/front/platform/server.go
@@ -79,6 +79,9 @@
 	return ln.Addr(), nil
 }
 
+// Hold has clients that connect wait, or takes them again.
+func (s *Server) Hold(yes bool) { s.ln.Hold(yes) }
+
 // Flush implements dispatch.Entry; what is written is queued already.
 func (s *Server) Flush() {}
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -347,6 +347,18 @@
 	}
 }
 
+// Hold has connections wait in the kernel's queue, or takes them again.
+func (ln *Listener) Hold(yes bool) {
+	if ln.l.world != nil || ln.fd < 0 {
+		return
+	}
+	events := uint32(unix.EPOLLIN)
+	if yes {
+		events = 0
+	}
+	ln.l.rewatch(ln.fd, events)
+}
+
 // Finish accepts whoever waits, and stops listening.
 func (ln *Listener) Finish() {
 	if ln.l.world == nil && ln.fd >= 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"docksail/internal/decide/peers"
+	"docksail/internal/decide/watch"
 	"docksail/internal/dispatch"
 	"docksail/internal/enlist"
 	exit "docksail/internal/exit/platform"
@@ -70,6 +71,11 @@
 	if n.addr, err = n.d.Start(t.Listen, false); err != nil {
 		return nil, fmt.Errorf("node %s: %w", t.Name, err)
 	}
+	n.in.Hold(true) // what the agent knows counts as told from now on: no job goes before it is asked
+	open := func() { n.in.Hold(false) }
+	n.out.OnNews(open)
+	var late loop.Timer
+	l.At(&late, l.Now()+watch.First, func(loop.Nanos) { open() })
 	return n, nil
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -384,6 +386,71 @@
 	}
 }
 
+// Lists come in any form of JSON and in pieces; one that cannot be read leaves the one in force.
+func TestListForms(t *testing.T) {
+	s := newStage(t)
+	s.host("r1", "prefill", read)
+	s.host("w1", "decode", write)
+	s.host("w2", "decode", write)
+	s.start(1024)
+	w1 := s.hosts[1]
+	w1.State = "Terminating"
+	text, _ := json.MarshalIndent(exit.List{Version: 42, Servers: []exit.Server{w1}}, "", "\t")
+	for i, piece := range []string{"\n \r\n" + string(text[:7]), string(text[7:60]), string(text[60:]) + "\n{\"version\":43,\"full\":false,\"servers\":[]}"} {
+		s.raw <- piece
+		if i < 2 {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	until(t, "the news", func() bool { v, _ := s.node.View(); return v.Exit.News == 3 })
+	s.raw <- "{\"version\": 44, \"servers\": [}]}"
+	until(t, "another watch", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.froms) == 2 && s.froms[1] == "43" })
+	for n := range 6 {
+		s.served(s.dial(), n)
+	}
+	if s.jobsAt("w1") != 0 {
+		t.Error("a host that drains got a job")
+	}
+}
+
+// A watch that has fallen silent is begun anew in time, by a call for what came since.
+func TestSilentWatch(t *testing.T) {
+	s := newStage(t)
+	s.host("r1", "prefill", read)
+	s.host("w1", "decode", write)
+	s.start(1024)
+	silent := s.deaf
+	s.mu.Lock()
+	s.deaf = new(atomic.Bool)
+	s.mu.Unlock()
+	silent.Store(true)
+	begun := time.Now()
+	until(t, "another watch", func() bool { s.mu.Lock(); defer s.mu.Unlock(); return len(s.froms) == 2 })
+	if took := time.Since(begun); took > 4500*time.Millisecond { // of the six seconds in which one more may fail
+		t.Errorf("after %v", took)
+	}
+}
+
+// What the agent knows counts as told from a process's first moment: it is asked before the first job goes.
+func TestListBeforeJobs(t *testing.T) {
+	s := newStage(t)
+	s.host("r1", "prefill", read)
+	s.host("w1", "decode", write)
+	s.host("w2", "decode", write)
+	drains := s.hosts[1]
+	drains.State = "Terminating"
+	news := exit.List{Version: 50, Full: true, Servers: []exit.Server{s.hosts[0], drains, s.hosts[2]}}
+	s.atOnce = true
+	go func() { text, _ := json.Marshal(news); s.raw <- string(text) }()
+	s.start(1024)
+	for n := range 6 {
+		s.served(s.dial(), n)
+	}
+	if s.jobsAt("w1") != 0 {
+		t.Error("a host that drains got a job")
+	}
+}
+
 // Hosts that are replaced under new names leave nothing behind.
 func TestReplacedHosts(t *testing.T) {
 	s := newStage(t)
--- a/internal/node/stage_test.go
+++ b/internal/node/stage_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,16 +29,19 @@
 
 // stage is a dispatcher in service between scripted hosts, a scripted discovery and the test as its client.
 type stage struct {
-	t     *testing.T
-	node  *Node
-	told  *Told
-	hosts []exit.Server
-	mu    sync.Mutex
-	seen  []seen
-	conns int
-	watch chan exit.List // news for whoever watches
-	froms []string       // what watches asked for
-	terms []string       // pieces of the settings and what stands in their place, pairwise
+	t      *testing.T
+	node   *Node
+	told   *Told
+	hosts  []exit.Server
+	mu     sync.Mutex
+	seen   []seen
+	conns  int
+	watch  chan exit.List // news for whoever watches
+	raw    chan string    // the same, as written
+	deaf   *atomic.Bool   // watches that began by now say nothing more
+	froms  []string       // what watches asked for
+	atOnce bool           // the test goes on before clients are taken
+	terms  []string       // pieces of the settings and what stands in their place, pairwise
 }
 
 // script answers a request; false: the connection is to be closed.
@@ -145,6 +149,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
+		deaf := s.deaf
 		s.froms = append(s.froms, r.URL.Query().Get("from"))
 		s.mu.Unlock()
 		w.(http.Flusher).Flush()
@@ -153,7 +158,11 @@
 			case list := <-watch:
 				json.NewEncoder(w).Encode(list)
 			case <-time.After(500 * time.Millisecond):
-				io.WriteString(w, "\n")
+				if !deaf.Load() {
+					io.WriteString(w, "\n")
+				}
+			case text := <-s.raw:
+				io.WriteString(w, text)
 			case <-r.Context().Done():
 				return
 			case <-ctx.Done():
@@ -168,7 +177,7 @@
 }
 
 func newStage(t *testing.T) *stage {
-	return &stage{t: t}
+	return &stage{t: t, raw: make(chan string), deaf: new(atomic.Bool)}
 }
 
 // start puts the dispatcher between them.
@@ -182,6 +191,9 @@
 	}
 	s.node = n
 	s.t.Cleanup(func() { n.l.Stop(); <-n.done })
+	if !s.atOnce {
+		ask(s.dial(), "GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n") // it takes clients from then on
+	}
 }
 
 const body = `{"model":"chat","stream":true,"max_tokens":80,"messages":[{"role":"user","content":"abcd"}]}`
