A client's end is told before decisions are pulled, and behind unread bytes as well

Seen in the code against the terms on clients that leave: conn.go, setInterest, took EPOLLRDHUP out with reading, so that a client that had sent more than is read and gone was found with the end of its job; loop.go told ends of a turn in flush, after the round, so that a waiting job could be sent on for a client known to be gone.

Ends are told before the round as well; a client's connection keeps its end in sight while reading is paused. A client whose end stands behind bytes that the system has no room for can't be seen by this (its end is not sent yet).

Both tests fail without the change.

--- a/internal/front/platform/server.go
+++ b/internal/front/platform/server.go
@@ -137,6 +137,7 @@
 	c := &conn{s: s, lc: lc, dec: h1.NewServer(h1.Limits{Head: headMost, Body: bodyMost}), number: s.number}
 	c.onTimer = c.due
 	lc.Bound(outputMost)
+	lc.EndFirst()
 	return c
 }
 
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -22,6 +22,7 @@
 	dirty      bool
 	counted    bool
 	paused     bool
+	endFirst   bool // the peer's end is told also while reading is paused
 	closing    bool // to be closed once all is written
 	ending     bool // its output is to be ended once all is written
 	blocked    bool // the socket took less than there was
@@ -140,6 +141,10 @@
 	return err == unix.EAGAIN
 }
 
+// EndFirst has the peer's end told while reading is paused, ahead of what it sent before and is not read yet: who asks and
+// goes need not be read to the end.
+func (c *Conn) EndFirst() { c.endFirst = true }
+
 // Pause stops, or lets go on, reading from the peer.
 func (c *Conn) Pause(yes bool) {
 	if c.paused = yes; c.fd >= 0 && !c.connecting {
@@ -155,6 +160,8 @@
 	want := uint32(0)
 	if c.reads && !c.paused {
 		want |= unix.EPOLLIN | unix.EPOLLRDHUP
+	} else if c.reads && c.endFirst {
+		want |= unix.EPOLLRDHUP
 	}
 	if c.blocked {
 		want |= unix.EPOLLOUT
@@ -219,8 +226,13 @@
 		return
 	}
 	if c.paused || !c.reads {
-		if events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+		switch {
+		case events&(unix.EPOLLHUP|unix.EPOLLERR) != 0:
 			c.die(unix.ECONNRESET)
+		case events&unix.EPOLLRDHUP != 0 && c.reads && c.endFirst:
+			c.reads = false
+			c.setInterest()
+			c.handler.PeerDone(l.now)
 		}
 		return
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -231,6 +231,7 @@
 			}
 		}
 		l.timers.fire(l.now)
+		l.bury()
 		if round != nil {
 			round(l.now)
 		}
@@ -272,15 +273,23 @@
 		if l.dirty == nil {
 			l.dirty = dirty[:0]
 		}
-		dead := l.dead
-		l.dead = nil
-		for _, c := range dead {
-			c.handler.Closed(l.now, c.err)
+		if l.bury() {
 			l.again = true // what follows from it is for the next round
 		}
 	}
 }
 
+// bury tells of the connections that have ended: before decisions are pulled, so that none is made for a peer that is
+// known to be gone, and after what was written.
+func (l *Loop) bury() bool {
+	dead := l.dead
+	l.dead = nil
+	for _, c := range dead {
+		c.handler.Closed(l.now, c.err)
+	}
+	return len(dead) > 0
+}
+
 // Listener accepts connections.
 type Listener struct {
 	l      *Loop
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -69,6 +69,40 @@
 	}
 }
 
+// Ends that are known are told before the round of their turn.
+func TestEndsBeforeRound(t *testing.T) {
+	l, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	late, gone := 0, 0
+	here, there := &peer{}, &peer{}
+	ln, err := l.Listen(any4, false, func(c *Conn, _ netip.AddrPort) Handler {
+		here.c = c
+		here.onData = func([]byte) { c.Close() }
+		return here
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if there.c, err = l.Dial(ln.Addr(), int64(time.Second), there); err != nil {
+		t.Fatal(err)
+	}
+	there.c.Write([]byte("x"))
+	var end Timer
+	l.At(&end, int64(5*time.Second), func(Nanos) { l.Stop() })
+	l.Run(func(Nanos) {
+		late += len(l.dead)
+		if gone += here.closed; gone > 0 {
+			l.Stop()
+		}
+	})
+	if gone == 0 || late > 0 {
+		t.Errorf("%d ends were told, %d came after a round", gone, late)
+	}
+}
+
 // until waits for something that the loop sees.
 func until(t *testing.T, on func(func()), what string, f func() bool) {
 	t.Helper()
--- a/internal/loop/world.go
+++ b/internal/loop/world.go
@@ -180,6 +180,7 @@
 		l.wakeAt = never
 	}
 	l.timers.fire(l.now)
+	l.bury()
 	if l.round != nil {
 		l.round(l.now)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -341,6 +341,25 @@
 	}
 }
 
+// A client that has sent more than is read while its job is in hand, and goes, is gone at once.
+func TestLeaverBehindUnreadBytes(t *testing.T) {
+	s := newStage(t)
+	hung := make(chan bool)
+	s.host("reader", "prefill", func(net.Conn, *http.Request, int) bool { <-hung; return false })
+	s.host("writer", "decode", write)
+	s.start(1024)
+	defer close(hung)
+	c := s.dial()
+	io.WriteString(c, request(jobName(1)))
+	until(t, "the read is out", func() bool { return s.jobsAt("reader") == 1 })
+	for range 3 { // more than is read, less than the system holds
+		c.Write(make([]byte, 50<<10))
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.(*net.TCPConn).CloseWrite()
+	until(t, "the job is over", func() bool { v, _ := s.node.View(); return v.Jobs.Left == 1 && v.InHand == 0 })
+}
+
 // The jobs that find no host are answered at once, with when to come back.
 func TestNack(t *testing.T) {
 	s := newStage(t)
