What reads found kept is counted beside what the module expected there

cached_tokens of a read's answer against the module's expectation, which the decision to launch a read now carries: in the line 'counts' (Kept), and read by read at debug level.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -134,6 +134,7 @@
 	Sent    loop.Nanos
 	Within  int64      // its time
 	ReadAt  loop.Nanos // its last read ended
+	Kept    int64      // prompt tokens that the module expects to be kept where it is read
 	rpc     sending    // how the gRPC exit holds it
 	timer   loop.Timer
 	onTimer func(loop.Nanos)
@@ -574,6 +575,7 @@
 	}
 	switch what.Verb {
 	case policy.Launch:
+		j.Kept = what.Kept
 		d.launch(now, j, what.Host, int64(what.For))
 	case policy.Recall:
 		if shot, out := j.Out(); out && shot == what.Shot {
--- a/internal/dispatch/seam.go
+++ b/internal/dispatch/seam.go
@@ -87,6 +87,9 @@
 	return true
 }
 
+// Given is the job as the module was told of it.
+func (j *Job) Given() policy.Job { return j.given }
+
 // Begun tells that the answer has begun.
 func (j *Job) Begun() bool { return j.begun > 0 }
 
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -175,6 +175,8 @@
 			c.start()
 		case piece == h1.Data && c.stream:
 			c.event(now, data)
+		case piece == h1.Data && c.j != nil && c.j.Reads && len(c.first)+len(data) <= foundMost:
+			c.first = append(c.first, data...)
 		case piece == h1.Whole:
 			c.answered(now, n == len(p))
 			return len(p)
@@ -303,6 +305,7 @@
 		how = policy.Broken
 	case status == 202 && j.Reads:
 		how = policy.Read
+		c.found(j)
 	case status == 410 && turned && !j.Reads:
 		how = policy.Stateless
 	case (status == 503 || status == 504) && turned:
@@ -315,6 +318,22 @@
 	c.x.d.Finish(now, j, how, "", c.load)
 }
 
+// found takes down how much of a prompt the host had kept, if the answer to its read tells.
+func (c *conn) found(j *dispatch.Job) {
+	var told struct {
+		Cached *int64 `json:"cached_tokens"`
+	}
+	g := j.Given()
+	if json.Unmarshal(c.first, &told) != nil || told.Cached == nil || *told.Cached < 0 || *told.Cached > g.Prompt {
+		return
+	}
+	c.x.Counts.Kept.read(g.Prompt, g.Shared, j.Kept, *told.Cached)
+	if c.x.traces {
+		c.x.log.Debug("read", "job", string(j.Named), "host", c.h.name, "prefix", g.Prefix, "session", g.Session, "prompt", g.Prompt, "shared", g.Shared,
+			"expected", j.Kept, "found", *told.Cached)
+	}
+}
+
 // rest keeps the connection for the next request.
 func (c *conn) rest(now loop.Nanos) {
 	if c.h.health == policy.Gone {
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"context"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -23,6 +24,7 @@
 	headMost   = 16 << 10  // of an answer
 	chunkMost  = 64 << 10  // of a stream: events are a few hundred bytes
 	smallMost  = 256 << 10 // of an answer that is no stream
+	foundMost  = 256       // of what a read's answer tells
 	usualReach = int64(250e6)
 )
 
@@ -36,6 +38,27 @@
 	Rested                                  [12]uint64 // launches on connections used before, by how long those had rested: under 16 ms, 32, ...
 	LapsedAt                                [12]uint64 // of these, the ones that lapsed
 	News, Watches                           uint64
+	Kept                                    Kept
+}
+
+// Kept compares, over the reads that ended well and told, what hosts had kept of prompts with what was expected. All but
+// Reads are prompt tokens.
+type Kept struct {
+	Reads, Prompt, Shared uint64
+	Expected, Found       uint64
+	Missed                uint64 // expected and not found
+	Unforeseen            uint64 // found and not expected
+}
+
+// read takes down one read.
+func (k *Kept) read(prompt, shared, expected, found int64) {
+	k.Reads++
+	k.Prompt += uint64(prompt)
+	k.Shared += uint64(shared)
+	k.Expected += uint64(expected)
+	k.Found += uint64(found)
+	k.Missed += uint64(max(expected-found, 0))
+	k.Unforeseen += uint64(max(found-expected, 0))
 }
 
 // Exit reaches the hosts on a loop.
@@ -45,6 +68,7 @@
 	l        *loop.Loop
 	d        *dispatch.Dispatcher
 	log      *slog.Logger
+	traces   bool // the log takes lines of single jobs
 	zones    []string
 	kinds    []string
 	roles    []policy.Role
@@ -66,7 +90,7 @@
 
 // New makes the way to the hosts for a dispatcher: at most so many connections, discovery at an address.
 func New(l *loop.Loop, d *dispatch.Dispatcher, log *slog.Logger, m *enlist.Module, most int, discovery netip.AddrPort) *Exit {
-	x := &Exit{l: l, d: d, log: log, zones: m.Zones, kinds: m.Kinds, roles: m.Roles, most: most, connect: int64(m.Connect),
+	x := &Exit{l: l, d: d, log: log, traces: log.Enabled(context.Background(), slog.LevelDebug), zones: m.Zones, kinds: m.Kinds, roles: m.Roles, most: most, connect: int64(m.Connect),
 		keeper: pool.Keeper{Idle: int64(m.Idle), Release: int64(m.Release)}, byName: make(map[string]*host),
 		byID: make(map[policy.HostID]*host), releases: make(map[policy.JobID]*release)}
 	if x.connect <= 0 {
@@ -349,7 +373,9 @@
 // done ends it, answered or given up.
 func (r *release) done(now loop.Nanos) {
 	x := r.x
-	x.log.Debug("release over", "job", string(r.name), "tries", r.tried, "took", now-r.begun)
+	if x.traces {
+		x.log.Debug("release over", "job", string(r.name), "tries", r.tried, "took", now-r.begun)
+	}
 	x.l.Cancel(&r.timer)
 	delete(x.releases, r.job)
 	r.on = nil
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -360,6 +361,25 @@
 	until(t, "the job is over", func() bool { v, _ := s.node.View(); return v.Jobs.Left == 1 && v.InHand == 0 })
 }
 
+// What a read found kept is set beside what the module expected to be kept there.
+func TestKept(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", func(c net.Conn, _ *http.Request, n int) bool {
+		text := []string{`{"cached_tokens":100}`, `{"cached_tokens":2000}`, `{"cached_tokens":-1}`, `{"cached_tokens":"x"}`, `{}`}[min(n, 5)-1]
+		return say(c, "HTTP/1.1 202 Accepted\r\nContent-Length: "+strconv.Itoa(len(text))+"\r\n\r\n"+text)
+	})
+	s.host("writer", "decode", write)
+	s.start(1024)
+	for n := range 5 {
+		s.served(s.dial(), n)
+	}
+	v, _ := s.node.View()
+	k := v.Exit.Kept
+	if k.Reads != 2 || k.Prompt != 2*5120 || k.Shared != 2*2048 || k.Expected != 5120 || k.Found != 2100 || k.Unforeseen != 100 || k.Missed != 3120 {
+		t.Errorf("%+v", k) // the second read's whole prompt was read there before
+	}
+}
+
 // The jobs that find no host are answered at once, with when to come back.
 func TestNack(t *testing.T) {
 	s := newStage(t)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -454,9 +454,11 @@
 	if j.phase == toWrite && d.hosts[j.reader].cell != h.cell {
 		d.cells[d.hosts[j.reader].at].link.send(now)
 	}
+	kept := int64(0)
 	if j.phase == toRead {
+		kept = d.expectHeld(now, j, to)
 		j.unsplit = h.role != Reader
-		j.tokens = j.Prompt - d.expectHeld(now, j, to)
+		j.tokens = j.Prompt - kept
 		h.queued += j.tokens
 		if j.Prefix != 0 && j.Shared > 0 {
 			d.holds.mark(uint64(j.Prefix), to, j.Shared, now+keepMarks)
@@ -469,7 +471,7 @@
 	if j.launches++; j.launches == 1 {
 		d.active++
 	}
-	return Decision{Verb: Launch, Job: j.ID, Host: h.id, For: d.timeOut(now, j, h.role)}
+	return Decision{Verb: Launch, Job: j.ID, Host: h.id, For: d.timeOut(now, j, h.role), Kept: kept}
 }
 
 // timeOut bounds a launch. Where launches can be recalled, a writer's silence ends them and the time-out only
--- a/policy/types.go
+++ b/policy/types.go
@@ -172,5 +172,6 @@
 	Host HostID
 	Shot Shot
 	For  Nanos
+	Kept int64 // of a launch that reads: prompt tokens expected to be kept there
 	Text string
 }
