How many homes a prefix has goes by other jobs, and full homes give way to the next

By the new count of kept prompts 86 of 100 reads of the second deployment did not find their prefix from 10 s to 15 s; 876 prefixes in 2,065 reads, the commonest at 22 to 30 readers; 1,223 of 1,582 reads after 8 s were the first of their prefix at their reader, and 5 of 100 of those found it. Where the prefix had been read before at the same host, 81 to 94 of 100 found it, up to 16 s later.

Ruled out: prompts driven out by what runs (the last figure), writers (all their attempts ended well), hosts that turn away (one job).

Cause: policy.go, findHomes, and state.go, share: the share of a prefix counted the job that asks.

Now the other jobs tell, weighed against how often any two share a prefix; two homes more while fewer jobs than hosts were seen; reports fade over eight expected times, as answers count so long; homes at which affinity yields are left out.

--- /dev/null
+++ b/policy/homes_test.go
@@ -0,0 +1,57 @@
+package policy
+
+import "testing"
+
+// homesOf gives how many readers of twenty a prefix's first jobs of forty sessions go to, each at a dispatcher of its own
+// that has seen so many other jobs, one in every so many of them with that prefix; 0 = none.
+func homesOf(t *testing.T, others, every int) int {
+	const prefix = PrefixKey(99)
+	at := map[HostID]bool{}
+	for session := range 40 {
+		d, err := New(1, Place{Number: int32(session), Count: 40}, []Track{{Expected: 1e9, Patience: 5e9, Payoff: 1}}, nil, []Role{Reader},
+			ColdStart{}, Launching{Most: 3}, Answering{Round: 1e6}, Listing{}, 1e9)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := Nanos(1e9)
+		d.ListBegin(true)
+		for id := range HostID(20) {
+			d.HostListed(id+1, 0, 0, 0, Serving, 0)
+		}
+		d.ListEnd(now)
+		job := func(id JobID, s SessionKey, p PrefixKey) HostID {
+			now += 1e6
+			d.JobArrived(now, Job{ID: id, Tenant: -1, Session: s, Prefix: p, Prompt: 1500, Shared: 1000, Deadline: now + 5e9})
+			host := HostID(0)
+			for what, ok := d.Next(now); ok; what, ok = d.Next(now) {
+				if what.Verb == Launch {
+					host = what.Host
+				}
+			}
+			d.LaunchEnded(now, id, 0, Read, 1e6, true, NoLoad)
+			for _, ok := d.Next(now); ok; _, ok = d.Next(now) {
+			}
+			return host
+		}
+		for n := range others {
+			p := PrefixKey(1000 + n)
+			if every > 0 && n%every == 0 {
+				p = prefix
+			}
+			job(JobID(n+1), SessionKey(5000+100*session+n), p)
+		}
+		d.holds.by = map[uint64][8]holder{} // the marks of its own jobs are not what is asked about
+		at[job(1000, SessionKey(session+1), prefix)] = true
+	}
+	return len(at)
+}
+
+// What few others send goes to one home at every dispatcher, what many send to several; who has seen too little to tell
+// takes three, so that what is common does not jam one host while all are new.
+func TestHomes(t *testing.T) {
+	for _, c := range []struct{ others, every, least, most int }{{24, 0, 1, 1}, {0, 0, 3, 3}, {6, 0, 3, 3}, {24, 4, 4, 12}, {12, 4, 4, 12}} {
+		if n := homesOf(t, c.others, c.every); n < c.least || n > c.most {
+			t.Errorf("%d jobs seen, one in %d with the prefix: %d homes, want %d to %d", c.others, c.every, n, c.least, c.most)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,8 @@
 	failKeep     = 0.8      // weight of the past in a host's share of failures
 	failLimit    = 0.3      // two failures in a row from clean, or one launch in three
 	failAgainst  = 3.0      // times its fellows' median share: what befalls all alike is no sickness of one
+	keepLoad     = 8        // expected times over which a host's report fades: as long as answers count
+	fewHomes     = 2        // homes more while little is known: one jams where prefixes are few
 	mostAside    = 3        // one host in so many may be set aside for slowness or failures
 	poorAnswer   = 1.0 / 2  // of the expected time, for one stage of two: a longer answer has waited too long
 	lateRead     = 1.0 / 4  // of the expected time: a read that takes longer has waited in a queue
@@ -551,7 +553,7 @@
 	} else if fewest < tellStreams {
 		return noHost
 	}
-	d.findHomes(now, j, Mixed, pass)
+	d.findHomes(now, j, Mixed, pass, int64(Never))
 	return d.least(func(i int32, h *host) (rank, bool) {
 		willing := h.role == Mixed && streams(h) <= bound && (pressed || h.high <= slowHarms)
 		apart := d.apart(now, j, i)
@@ -607,8 +609,8 @@
 
 // backlog is the design's load signal of a reader: own unread prompts, plus what the host reported of late.
 func (d *Dispatcher) backlog(now Nanos, h *host) int64 {
-	if h.load.Unread > 0 && now-h.loadAt < d.tracks[0].Expected {
-		return h.queued + int64(h.load.Unread)
+	if age := float64(now-h.loadAt) / float64(keepLoad*d.tracks[0].Expected); h.load.Unread > 0 && age < 1 {
+		return h.queued + int64(h.load.Unread*(1-age))
 	}
 	return h.queued
 }
@@ -621,7 +623,7 @@
 	lowest := d.lowest(now, j, pass, func(h *host) (int64, bool) {
 		return d.backlog(now, h), h.role == Reader
 	})
-	d.findHomes(now, j, Reader, pass)
+	d.findHomes(now, j, Reader, pass, gateFactor*(lowest+j.Prompt))
 	return d.least(func(i int32, h *host) (rank, bool) {
 		log, held, apart, far := d.backlog(now, h), d.expectHeld(now, j, i), int64(2), int64(1)
 		if log < gateFactor*(lowest+j.Prompt) {
@@ -643,13 +645,17 @@
 // findHomes finds the hosts of a role that are likely to hold a job's beginning whoever sent it there: the
 // first few in an order that the beginning and the ids give, the same at every dispatcher, and of them the
 // one that the session gives. A session's turns come to many dispatchers, of which none could mark it. A
-// beginning has more homes the more jobs share it.
-func (d *Dispatcher) findHomes(now Nanos, j *job, role Role, pass int) {
+// beginning has more homes the more jobs share it. Those at which affinity yields are left out, so that
+// the next in the same order takes over at every dispatcher that knows.
+func (d *Dispatcher) findHomes(now Nanos, j *job, role Role, pass int, full int64) {
 	d.homes, d.own = d.homes[:0], noHost
 	if j.Prefix == 0 && j.Session == 0 {
 		return
 	}
 	most := 1 + int(homeSpread*d.holds.share(uint64(j.Prefix))*float64(len(d.hosts)))
+	if d.holds.all < float64(len(d.hosts)) { // too few to tell a rare one from one that all others send
+		most += fewHomes
+	}
 	if j.Prefix == 0 {
 		most = len(d.hosts)
 	}
@@ -658,7 +664,7 @@
 		for i := range d.hosts {
 			h := &d.hosts[i]
 			if x := mix(uint64(j.Prefix) ^ mix(uint64(h.id))); h.role == role && x < last && x > top &&
-				d.fit(now, j, int32(i), pass) {
+				d.backlog(now, h) < full && d.fit(now, j, int32(i), pass) {
 				best, top = int32(i), x
 			}
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -275,13 +275,16 @@
 	tokens int32
 }
 
+const fewJobs = 4 // so many others weigh as much as what is usual
+
 // beginnings remembers which hosts hold which beginning; of more than fit, the oldest mark goes. It also
 // counts, over a time, how many of the jobs share one.
 type beginnings struct {
 	by   map[uint64][8]holder
 	seen map[uint64]float64
 	all  float64
-	at   Nanos
+	twos float64 // pairs of jobs that share one ...
+	both float64 // ... among all pairs
 }
 
 func newBeginnings() beginnings {
@@ -290,16 +293,22 @@
 
 // count takes down that a job shares a beginning.
 func (b *beginnings) count(key uint64) {
+	b.twos, b.both = b.twos+b.seen[key], b.both+b.all
 	b.seen[key]++
 	b.all++
 }
 
-// share is the part of all jobs that share a beginning.
-func (b *beginnings) share(key uint64) float64 { return b.seen[key] / max(b.all, 1) }
+// share is the part of all jobs that share a beginning with one that is counted, as far as the others tell.
+// Who has seen few jobs goes by how often any two share one: where beginnings are many, one seen for the
+// first time is rare.
+func (b *beginnings) share(key uint64) float64 {
+	usual := b.twos / max(b.both, 1)
+	return (max(b.seen[key]-1, 0) + fewJobs*usual) / (max(b.all-1, 0) + fewJobs)
+}
 
 // fade lets counts fade; what has faded to little is dropped.
 func (b *beginnings) fade(keep float64) {
-	b.all *= keep
+	b.all, b.twos, b.both = b.all*keep, b.twos*keep*keep, b.both*keep*keep
 	for key := range b.seen {
 		if b.seen[key] *= keep; b.seen[key] < 1.0/16 {
 			delete(b.seen, key)
