A last answer that took long goes out whole: its connection's end counts from now

Ruled out: the host (the stream had come to its end), the process's own end (it was killed at 17 s), the client (it was there).

Cause: server.go, stand, took the time of the connection's own last event, which for an answer is that of its request: where the answer took over 3 s, the time in which what still comes is thrown away was over at once, and the connection was closed over an answer not yet written.

The time is that of the turn. The new test fails without it (unexpected EOF after the first event).

--- a/internal/front/platform/server.go
+++ b/internal/front/platform/server.go
@@ -209,8 +209,9 @@
 	return nil
 }
 
-// stand takes down what the connection is about from now on.
+// stand takes down what the connection is about from now on: the turn's time, as it may be a host that brought it about.
 func (c *conn) stand(stage peers.Stage) {
+	c.now = c.s.l.Now()
 	if h := c.s.heap(c.stage); h != nil && c.place > 0 {
 		h.Take(c)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -380,6 +380,22 @@
 	}
 }
 
+// An answer that takes long, as its connection's last, goes out whole.
+func TestLongLastAnswer(t *testing.T) {
+	s := newStage(t)
+	s.host("reader", "prefill", read)
+	s.host("writer", "decode", func(c net.Conn, _ *http.Request, _ int) bool {
+		say(c, streamHead+chunk(event1))
+		time.Sleep(3200 * time.Millisecond) // longer than what comes after a last answer is thrown away
+		return say(c, chunk(event2)+"0\r\n\r\n")
+	})
+	s.start(1024)
+	status, got, _, err := ask(s.dial(), request(jobName(1), "Host: api.internal\r\n", "Host: api.internal\r\nConnection: close\r\n"))
+	if status != 200 || got != answer || err != nil {
+		t.Errorf("%d %q, %v", status, got, err)
+	}
+}
+
 // The jobs that find no host are answered at once, with when to come back.
 func TestNack(t *testing.T) {
 	s := newStage(t)
