A dispatcher that leaves sees releases under way to their end

Seen in the code against the rule on what is held: Round ended the process with its last client and job, while a release could still wait for a host's answer or for its connection. The test has the host that is asked first stay silent, and fails without the change ('it has ended before its release was answered').

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -280,7 +280,7 @@
 	}
 	d.clients.Flush()
 	d.exit.Flush()
-	if d.leaving && d.jobs.Len() == 0 && d.clients.Idle() {
+	if d.leaving && d.jobs.Len() == 0 && d.clients.Idle() && d.exit.Idle() {
 		d.leaveEnd()
 	}
 }
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -47,6 +47,9 @@
 func (x *engines) Watch(now loop.Nanos) { x.lister.watch(now) }
 func (x *engines) Close()               { x.lister.close() }
 
+// Idle implements Exit: releases that wait for a connection are left to the engines' own time.
+func (x *engines) Idle() bool { return true }
+
 func (x *engines) Reads(host policy.HostID) (reads, known bool) {
 	e := x.by[host]
 	return e != nil && e.role == policy.Reader, e != nil
--- a/internal/dispatch/seam.go
+++ b/internal/dispatch/seam.go
@@ -27,8 +27,9 @@
 	Launch(now loop.Nanos, j *Job, shot policy.Shot) Sent
 	// LetGo has what a launch of the job left at a host let go of. The job may be over after the call.
 	LetGo(now loop.Nanos, j *Job, at policy.HostID, shot policy.Shot)
-	Flush() // queues on the sockets what has come together in this turn
-	Close() // the loop has ended
+	Flush()     // queues on the sockets what has come together in this turn
+	Idle() bool // nothing is on its way to a host that must still come there
+	Close()     // the loop has ended
 }
 
 // Sent is a launch that is out, as its exit holds it.
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -141,6 +141,9 @@
 // Flush implements dispatch.Exit; what is written is queued already.
 func (x *Exit) Flush() {}
 
+// Idle implements dispatch.Exit: a release that is under way is seen to its end, which is bounded.
+func (x *Exit) Idle() bool { return len(x.releases) == 0 }
+
 // Close implements dispatch.Exit.
 func (x *Exit) Close() {}
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -396,6 +396,32 @@
 	}
 }
 
+// A dispatcher that leaves with its last client sees to it first that what it had read is let go of.
+func TestLeaveReleases(t *testing.T) {
+	s := newStage(t)
+	hung := make(chan bool)
+	s.host("r1", "prefill", func(net.Conn, *http.Request, int) bool { <-hung; return false })
+	s.host("writer", "decode", write)
+	s.mute = "r1"   // it is asked first, as it was heard
+	s.atOnce = true // no other client holds the dispatcher back
+	s.start(1024)
+	defer close(hung)
+	c := s.dial()
+	io.WriteString(c, request(jobName(1)))
+	until(t, "the read is out", func() bool { return s.jobsAt("r1") == 1 })
+	s.node.Leave()
+	time.Sleep(600 * time.Millisecond) // the door is closed
+	c.Close()
+	select {
+	case <-s.node.Done():
+	case <-time.After(3 * time.Second):
+		t.Fatal("it has not ended")
+	}
+	if len(s.got(func(x seen) bool { return x.host == "writer" && x.method == "DELETE" })) == 0 {
+		t.Error("it has ended before its release was answered")
+	}
+}
+
 // The jobs that find no host are answered at once, with when to come back.
 func TestNack(t *testing.T) {
 	s := newStage(t)
--- a/internal/node/stage_test.go
+++ b/internal/node/stage_test.go
@@ -40,6 +40,7 @@
 	raw    chan string    // the same, as written
 	deaf   *atomic.Bool   // watches that began by now say nothing more
 	froms  []string       // what watches asked for
+	mute   string         // the host that answers no release
 	atOnce bool           // the test goes on before clients are taken
 	terms  []string       // pieces of the settings and what stands in their place, pairwise
 }
@@ -101,7 +102,9 @@
 					nth++
 					n := nth
 					s.mu.Unlock()
-					if r.Method == "DELETE" {
+					if r.Method == "DELETE" && name == s.mute {
+						continue
+					} else if r.Method == "DELETE" {
 						say(c, "HTTP/1.1 204 No Content\r\n\r\n")
 					} else if !does(c, r, n) {
 						return
