--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	failAgainst  = 3.0      // times its fellows' median share: what befalls all alike is no sickness of one
 	keepLoad     = 8        // expected times over which a host's report fades: as long as answers count
 	fewHomes     = 2        // homes more while little is known: one jams where prefixes are few
+	manyWarm     = 1.0 / 2  // of the hosts of a role that warm up: beside fewer the others bear what grants leave
 	mostAside    = 3        // one host in so many may be set aside for slowness or failures
 	poorAnswer   = 1.0 / 2  // of the expected time, for one stage of two: a longer answer has waited too long
 	lateRead     = 1.0 / 4  // of the expected time: a read that takes longer has waited in a queue
@@ -522,6 +523,7 @@
 // are saved up and spent at once. Who has seen nobody carry anything gets a part of one launch a window.
 // A grant that is due goes before nearness and kept text: a dispatcher that sees little has one open for a
 // moment now and then, and where half a fleet warms up the other half would drown beside grants unused.
+// Where few warm up, what they keep nothing of is better read by the others.
 func (d *Dispatcher) coldRoom(now Nanos, h *host) bool {
 	if !d.isCold(now, h) {
 		return true
@@ -635,7 +637,7 @@
 		if c := &d.cells[h.at]; c.link.most > 0 && chanceOf(uint64(j.ID)) >= c.near && !d.open(now, &c.link) {
 			apart += 3 // what it reads would have to cross a jammed link
 		}
-		if d.isCold(now, h) { // its grant is due: see coldRoom
+		if d.isCold(now, h) && d.warming[Reader] > manyWarm*d.serving[Reader] { // its grant is due: see coldRoom
 			apart = -1
 		}
 		return rank{apart, log + j.Prompt - held, far}, h.role == Reader && d.fit(now, j, i, pass)
@@ -741,7 +743,7 @@
 			far = 1
 		}
 		r := rank{far, 2 * streams(h), int64(h.load.Memory * 100)}
-		if d.isCold(now, h) { // among equals too
+		if d.isCold(now, h) && d.warming[h.role] > manyWarm*d.serving[h.role] { // among equals too
 			r[1]--
 		}
 		if c := &d.cells[h.at]; reach > 0 && far == reach && d.rng.unit() < c.spare[far-1] {
--- a/policy/state.go
+++ b/policy/state.go
@@ -457,7 +457,8 @@
 	warmTime [roleCount]float64 // ... and how many windows warm hosts served in that time
 	cells    []cellPart
 	zones    []zonePart
-	serving  [roleCount]float64 // hosts in service
+	serving  [roleCount]float64 // hosts in service ...
+	warming  [roleCount]float64 // ... and those of them that warm up
 	homes    []int32            // hosts likely to hold the beginning of the job in hand
 	own      int32              // the one of them that its session gives
 	pulls    [2]ring            // first answers of writers, as shares of expected: near, far
@@ -528,7 +529,7 @@
 
 // countPlaces counts the hosts in service: of all, by role; by cell and zone, as parts of all.
 func (d *Dispatcher) countPlaces(now Nanos) {
-	d.serving = [roleCount]float64{}
+	d.serving, d.warming = [roleCount]float64{}, [roleCount]float64{}
 	for i := range d.cells {
 		d.cells[i].has = [roleCount]float64{}
 	}
@@ -538,6 +539,9 @@
 	for i := range d.hosts {
 		if h := &d.hosts[i]; h.health == Serving && now >= h.aside {
 			d.serving[h.role]++
+			if d.isCold(now, h) {
+				d.warming[h.role]++
+			}
 			d.cells[h.at].has[h.role]++
 		}
 	}
