A call for the list is open, or soon is, at the moment discovery is back

Ruled out: processes started anew (the first came up at 14.1 s).

Cause: decide/watch, Answer of half a second and Retry up to a second: two thirds of the time no call was open. Now a call waits three quarters of a second for its answer, and the next follows within a quarter.

--- a/internal/decide/watch/watch.go
+++ b/internal/decide/watch/watch.go
@@ -10,21 +10,23 @@
 	beat = int64(2e9)
 	// Quiet is how long a watch may say nothing: a beat, and half of one for a busy machine.
 	Quiet = beat + beat/2
-	// Answer is how long a new watch may take to be connected, and then to begin its answer: the agent is on this machine.
-	Answer = beat / 4
+	// Connect is how long a new watch may take to be connected, Answer how long then to begin its answer: the agent is on this
+	// machine. One that is silent as discovery is down answers the call that is open when it is back.
+	Connect = beat / 8
+	Answer  = 3 * beat / 8
 	// First is how long a new process waits for the list before it takes clients; after that it goes by the list it was started with.
 	First = beat / 8
 
-	retryLeast = beat / 8
-	retryMost  = beat / 2
+	// retryMost is shorter than what a send may follow on news that a host drains: there is a call open, or soon is, at the
+	// moment in which discovery is back.
+	retryMost = beat / 8
 )
 
 // Retry tells how long after a watch was lost or not to be had another is begun: failures is how many in a row were
-// not to be had, and chance in [0, 1) spreads what all dispatchers do at once.
+// not to be had, and chance in [0, 1) spreads what all dispatchers do at once. An open call costs nothing while it waits.
 func Retry(failures int, chance float64) int64 {
 	if failures == 0 { // one that worked was cut: all of them, it may be
-		return int64(chance * float64(retryLeast))
+		return int64(chance * float64(retryMost))
 	}
-	wait := min(retryLeast<<min(failures-1, 8), retryMost)
-	return wait/2 + int64(chance*float64(wait/2))
+	return retryMost/2 + int64(chance*float64(retryMost/2))
 }
--- a/internal/exit/platform/discovery.go
+++ b/internal/exit/platform/discovery.go
@@ -57,7 +57,7 @@
 		return
 	}
 	w := &watch{s: s, addr: s.addr, dec: h1.NewClient(h1.Limits{Head: headMost})}
-	lc, err := s.x.l.Dial(s.addr, decide.Answer, w)
+	lc, err := s.x.l.Dial(s.addr, decide.Connect, w)
 	if err != nil {
 		s.x.log.Warn("discovery", "at", s.addr, "err", err)
 		s.failures++
