The test of the list before jobs has the agent answer after the first jobs come

Without the door held it passed, as the agent's answer came first; now it fails there and passes with it.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -522,7 +522,11 @@
 	drains.State = "Terminating"
 	news := exit.List{Version: 50, Full: true, Servers: []exit.Server{s.hosts[0], drains, s.hosts[2]}}
 	s.atOnce = true
-	go func() { text, _ := json.Marshal(news); s.raw <- string(text) }()
+	go func() {
+		time.Sleep(100 * time.Millisecond) // jobs come before it
+		text, _ := json.Marshal(news)
+		s.raw <- string(text)
+	}()
 	s.start(1024)
 	for n := range 6 {
 		s.served(s.dial(), n)
