Logs and metrics of held state: stages of reads, writes and releases by request id

A release that is lost, late or answered with something else than 2xx is counted (ReleasesLost, ReleasesLate, ReleasesRefused, ReleaseSlowest) and logged with the request's id, the reason and the servers tried. Debug lines say why a state is released and when a client left. No behaviour changes.

go test of exit, node, dispatch and decide passes.

--- /dev/null
+++ b/internal/decide/effects/effects.go
@@ -0,0 +1,79 @@
+// Package effects keeps the life of what is sent for a request: its reads, its writes and the releases of KV state. What is known of
+// each at its server is told apart from what was done here. It does no I/O and reads no clock.
+package effects
+
+import "fmt"
+
+// Kind is what was sent.
+type Kind uint8
+
+const (
+	Read    Kind = iota // an attempt at a prefill server
+	Write               // an attempt at a decode server
+	Release             // a call that has the state of a request dropped
+)
+
+var kindNames = [...]string{"read", "write", "release"}
+
+// String names a kind in logs.
+func (k Kind) String() string { return kindNames[k] }
+
+// Stage is how far an effect has come, as far as is known here.
+type Stage uint8
+
+const (
+	Planned    Stage = iota // no connection carries it yet
+	Connecting              // its connection is coming up
+	Writing                 // its bytes are queued or in part with the system
+	Written                 // the system has its last byte; whether the server has it is not known
+	Arrived                 // something came back on the same connection
+	GivenUp                 // ended here; the server may not know yet
+	Over                    // over at the server, or known never to have come there whole
+)
+
+var stageNames = [...]string{"planned", "connecting", "writing", "written", "arrived", "given up", "over"}
+
+// String names a stage in logs.
+func (s Stage) String() string { return stageNames[s] }
+
+// Effect is one thing that is sent.
+type Effect struct {
+	Kind  Kind
+	stage Stage
+}
+
+// New makes an effect that nothing carries yet.
+func New(kind Kind) Effect { return Effect{Kind: kind} }
+
+// Stage is how far it has come.
+func (e *Effect) Stage() Stage { return e.stage }
+
+// TransitionError is a change of stage that cannot be: a fault of the program.
+type TransitionError struct {
+	Kind     Kind
+	From, To Stage
+}
+
+// Error implements error.
+func (e *TransitionError) Error() string {
+	return fmt.Sprintf("a %s that is %s cannot become %s", e.Kind, e.From, e.To)
+}
+
+// Advance takes down a new stage. Stages follow in their order; some may be left out, none comes again.
+func (e *Effect) Advance(to Stage) error {
+	if to <= e.stage {
+		return &TransitionError{e.Kind, e.stage, to}
+	}
+	e.stage = to
+	return nil
+}
+
+// MayHaveArrived tells that the server may have all of it: only then can it have had an effect.
+func (e *Effect) MayHaveArrived() bool { return e.stage >= Written }
+
+// KnownArrived tells that the server is known to have all of it. A connect that worked, bytes that the system took and signs of
+// life on other connections are no proof.
+func (e *Effect) KnownArrived() bool { return e.stage == Arrived }
+
+// HeldSlack is how much longer than the release time a state may be held.
+const HeldSlack = int64(300e6)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -58,6 +58,7 @@
 		d.answer(req, func() { req.call.Fail(req.ID, "its time is up") }, &d.Counts.Failed)
 	case policy.Release:
 		if at, held := req.StateHeld(); held {
+			d.logRelease(now, req, "decided", at)
 			req.ReleaseState()
 			d.exit.Release(now, req, at, policy.AttemptNumber(req.Attempts()-1))
 		}
@@ -92,6 +93,14 @@
 	}
 }
 
+// logRelease logs why the state of a request is released, and how long ago its last read ended.
+func (d *Dispatcher) logRelease(now loop.Nanos, req *Request, why string, at policy.ServerID) {
+	if !d.debug {
+		return
+	}
+	d.log.Debug("release", "request", string(req.ClientID), "why", why, "server", at, "since_read", now-req.PrefilledAt, "answered", req.Answered())
+}
+
 // timerDue is the timer of a request: its attempt's time, or, once the answer streams, the time to look at it.
 func (req *Request) timerDue(now loop.Nanos) {
 	d := req.d
@@ -173,6 +182,7 @@
 		d.Counts.Broken++
 	}
 	if cut {
+		d.logRelease(now, req, "the read may have ended", req.Server)
 		d.exit.Release(now, req, req.Server, attempt)
 	}
 	d.module.AttemptEnded(d.Time(now), req.ID, attempt, outcome, policy.Nanos(now-req.SentAt), over || req.Answered(), load)
--- a/internal/dispatch/exit.go
+++ b/internal/dispatch/exit.go
@@ -121,6 +121,7 @@
 // ReleaseState releases what is held for a request beside the attempt that is out and may never come to its server.
 func (d *Dispatcher) ReleaseState(now loop.Nanos, req *Request) {
 	if at, held := req.StateHeld(); held {
+		d.logRelease(now, req, "beside an attempt that may not have come", at)
 		req.ReleaseState()
 		d.exit.Release(now, req, at, policy.AttemptNumber(req.Attempts()-1))
 	}
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -217,6 +217,10 @@
 // ClientLeft tells that a client is gone.
 func (d *Dispatcher) ClientLeft(now loop.Nanos, id policy.RequestID) {
 	if req := d.requests.Find(id); req != nil && !req.Answered() {
+		if d.debug {
+			attempt, out := req.Outstanding()
+			d.log.Debug("client left", "request", string(req.ClientID), "out", out, "attempt", attempt, "begun", req.firstTokenAt > 0)
+		}
 		d.answer(req, func() {}, &d.Counts.ClientsLeft)
 		d.clientLeft(now, req)
 	}
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 
+	"docksail/internal/decide/effects"
 	"docksail/internal/decide/serverconn"
 	"docksail/internal/dispatch"
 	"docksail/internal/h1"
@@ -34,13 +35,14 @@
 
 	request     *dispatch.Request
 	release     *release
-	sentAt      loop.Nanos // what it carries was written then
-	written     bool       // to its last byte
-	answered    bool       // something came back
-	headSeen    bool       // its answer's head has come
-	stream      bool       // which is that of a stream
-	events      int        // pieces of it
-	prefillBody []byte     // what has come of a stream's first event
+	effect      effects.Effect // what it carries, or carried last
+	sentAt      loop.Nanos     // what it carries was written then
+	written     bool           // to its last byte
+	answered    bool           // something came back
+	headSeen    bool           // its answer's head has come
+	stream      bool           // which is that of a stream
+	events      int            // pieces of it
+	prefillBody []byte         // what has come of a stream's first event
 	load        policy.Load
 }
 
@@ -90,6 +92,7 @@
 		c.exit.Counts.Rested[restedFor(now-c.idleSince)]++
 	}
 	c.answered = false
+	c.advance(effects.Writing)
 	c.sentAt, c.written, c.headSeen, c.stream, c.prefillBody, c.load, c.events = now, false, false, false, c.prefillBody[:0], policy.NoLoad, 0
 }
 
@@ -132,6 +135,7 @@
 	switch {
 	case c.request != nil && now >= c.request.WriteBefore: // it took too long to come up
 		req := c.request
+		c.abandon()
 		c.request = nil
 		c.conn.Close()
 		c.leave()
@@ -145,7 +149,15 @@
 	}
 }
 
-func (c *conn) Drained(loop.Nanos) { c.written = true }
+func (c *conn) Drained(loop.Nanos) {
+	c.written = true
+	if c.carries() {
+		c.advance(effects.Written)
+	}
+	if c.carries() && c.answered {
+		c.advance(effects.Arrived)
+	}
+}
 
 func (c *conn) PeerDone(now loop.Nanos) {
 	if piece, err := c.decoder.End(); err == nil && piece == h1.Whole && c.headSeen {
@@ -163,6 +175,9 @@
 		c.leave()
 		return
 	}
+	if !c.answered && c.written {
+		c.advance(effects.Arrived)
+	}
 	c.answered = true
 	c.feed.Feed(p, func(p []byte) int { return c.take(now, p) })
 }
@@ -258,6 +273,7 @@
 // ended tells what carried on the connection that it is of no more use: spoilt by what came on it, or lost.
 func (c *conn) ended(now loop.Nanos, spoilt bool) {
 	req, r := c.request, c.release
+	c.abandon()
 	c.request, c.release = nil, nil
 	c.conn.Close()
 	c.leave()
@@ -290,6 +306,7 @@
 	req, r := c.request, c.release
 	srv := &c.decoder.Head
 	status, turned, begun := srv.Status, srv.Get("x-turned-away") != nil, req != nil && req.Streaming()
+	c.advance(effects.Over)
 	c.request, c.release = nil, nil
 	if clean && c.written && !srv.Close {
 		c.becomeIdle(now)
@@ -301,7 +318,7 @@
 		c.leave()
 	}
 	if r != nil {
-		r.done(now)
+		r.answered(now, c.server, status)
 		return
 	}
 	outcome := policy.Failed
@@ -370,6 +387,7 @@
 	if c.request == nil {
 		return false
 	}
+	c.abandon()
 	c.request = nil
 	c.conn.Close()
 	wired := c.ready
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"docksail/internal/decide/effects"
 	"docksail/internal/decide/serverconn"
 	"docksail/internal/dispatch"
 	"docksail/internal/loop"
@@ -34,6 +35,10 @@
 	Dialled, Reused, Unusable, Retired, NoRoom uint64
 	InvalidAnswers, ExtraBytes                 uint64 // answers that could not be read; bytes that belong to none
 	Releases, ReleaseTries, ReleasesLost       uint64
+	ReleasesRefused                            uint64 // answered by a server with something else than that it was done
+	ReleasesLate                               uint64 // answered after the time in which the state had to be gone
+	ReleaseSlowest                             int64  // the longest that one took, nanoseconds
+	Violations                                 uint64 // changes that the rules forbid: faults of the program
 	Reports, StaleConnections                  uint64
 	ReleasedEarly                              uint64     // states released beside an attempt that may not have come to its server
 	Rested                                     [12]uint64 // attempts on connections used before, by how long those had rested: under 16 ms, 32, ...
@@ -222,6 +227,10 @@
 		return nil
 	}
 	c.request = req
+	c.carry(effects.Write)
+	if req.Prefill {
+		c.effect.Kind = effects.Read
+	}
 	if c.ready {
 		c.writeAttempt(now)
 	}
@@ -298,6 +307,7 @@
 	}
 	for _, c := range slices.Clone(srv.conns) {
 		if req := c.request; req != nil && !c.ready {
+			c.abandon()
 			c.request = nil
 			c.conn.Close()
 			c.leave()
@@ -330,7 +340,7 @@
 	}
 	x.Counts.Releases++
 	if !serverconn.MayRelease(len(x.releases)) {
-		x.Counts.ReleasesLost++
+		x.releaseLost(req.ClientID, "too many are under way", nil, 0)
 		return
 	}
 	r := &release{exit: x, request: req.ID, name: slices.Clone(req.ClientID), beganAt: now}
@@ -342,6 +352,7 @@
 // drop takes the release off its connection.
 func (r *release) drop() {
 	if c := r.conn; c != nil {
+		c.abandon()
 		r.conn, c.release = nil, nil
 		c.conn.Close()
 		c.leave()
@@ -359,7 +370,7 @@
 	}
 	i := serverconn.Choose(x.ways)
 	if i < 0 || now >= x.keeper.ReleaseDeadline(r.beganAt) {
-		x.Counts.ReleasesLost++
+		x.releaseLost(r.name, "no server has answered in time", r.tried, now-r.beganAt)
 		r.done(now)
 		return
 	}
@@ -375,6 +386,7 @@
 		return // again when the time is up
 	}
 	r.conn, c.release = c, r
+	c.carry(effects.Release)
 	if c.ready {
 		c.writeRelease()
 	}
@@ -386,12 +398,33 @@
 	r.try(now)
 }
 
+// answered is when a server has answered the release.
+func (r *release) answered(now loop.Nanos, by *server, status int) {
+	x, took := r.exit, now-r.beganAt
+	if status/100 != 2 {
+		x.Counts.ReleasesRefused++
+		x.log.Info("release refused", "request", string(r.name), "server", by.name, "status", status)
+	}
+	x.Counts.ReleaseSlowest = max(x.Counts.ReleaseSlowest, took)
+	if took > x.keeper.Release+effects.HeldSlack {
+		x.Counts.ReleasesLate++
+		x.log.Warn("release late", "request", string(r.name), "server", by.name, "took", took, "tries", r.tried)
+	}
+	if x.debug {
+		x.log.Debug("release over", "request", string(r.name), "server", by.name, "tries", r.tried, "took", took)
+	}
+	r.done(now)
+}
+
+// releaseLost takes down that a state is left to the servers' own time.
+func (x *Exit) releaseLost(name []byte, why string, tried []policy.ServerID, took int64) {
+	x.Counts.ReleasesLost++
+	x.log.Warn("release lost", "request", string(name), "why", why, "tries", tried, "took", took)
+}
+
 // done ends it, answered or given up.
 func (r *release) done(now loop.Nanos) {
 	x := r.exit
-	if x.debug {
-		x.log.Debug("release over", "request", string(r.name), "tries", r.tried, "took", now-r.beganAt)
-	}
 	x.loop.Cancel(&r.timer)
 	delete(x.releases, r.request)
 	r.conn = nil
