--- /dev/null
+++ b/cmd/docksail/heldstate_test.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"docksail/internal/lab/soak"
+)
+
+// soakSettings is the settings object of the dispatchers of a soak: release time one second.
+const soakSettings = `{"family_info":{"release_ns":1000000000,"role_by_kind":["read","write"],"token_aim_ns":[60000000,60000000,60000000],
+"aim_us_per_1000_prompt_tokens":[40000,40000,40000]},"limits":{"cancel":true,"conn_idle_ns":15000000000,"connect_timeout_ns":250000000,
+"max_attempts":6,"max_retry_after_ns":1000000000,"retry_after":true},"localities":["z"],"machine_types":["prefill","decode"],
+"me":0,"siblings":2,"zone":"z","membership_mode":"pushed","round_ns":4000000,"request_classes":[
+{"dedup_scope":"all","effect":"idempotent","give_up_ns":6000000000,"late_value":0.1,"name":"idempotent","on_time_ns":1500000000,"points":3,"window_ns":5000000000},
+{"dedup_scope":"all","effect":"deduplicated","give_up_ns":6000000000,"late_value":0.1,"name":"deduplicated","on_time_ns":1500000000,"points":3,"window_ns":2000000000},
+{"dedup_scope":"all","effect":"at_most_once","give_up_ns":6000000000,"late_value":0.1,"name":"at_most_once","on_time_ns":1500000000,"points":3,"window_ns":5000000000}],"rules":{"answer_slack_ns":16000000,"cold_from":0.3,"cold_ns":1000000000,"fall_multiple":2.5,
+"fall_ns":3000000000},"tenants":[]}`
+
+// heldStateTest is a dispatcher's process before one prefill server and one decode server, with proxies between them.
+type heldStateTest struct {
+	*testing.T
+	fleet      *soak.Fleet
+	prefill    *soak.Server
+	decode     *soak.Server
+	dispatcher *soak.Dispatcher
+	client     *soak.Client
+}
+
+func newHeldStateTest(t *testing.T) *heldStateTest {
+	t.Helper()
+	fleet, err := soak.NewFleet(program, t.TempDir(), soakSettings, soak.UsualLimits(time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	h := &heldStateTest{T: t, fleet: fleet, client: soak.NewClient(fleet)}
+	if h.prefill, err = fleet.AddServer("r1", true); err != nil {
+		t.Fatal(err)
+	}
+	if h.decode, err = fleet.AddServer("w1", false); err != nil {
+		t.Fatal(err)
+	}
+	if h.dispatcher, err = fleet.AddDispatcher("d1"); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+const heldRequest = "00000000000000aa"
+
+// send sends a request whose client waits for nearly five seconds. It is of a class that is not repeated: an attempt that is silent
+// stays out for as long as may be.
+func (h *heldStateTest) send(id string) soak.Request {
+	h.Helper()
+	r := soak.Request{ID: id, Session: "7f3a9c21e0b4d655", Remaining: 4800 * time.Millisecond, Effect: "at_most_once"}
+	if err := h.client.Send(h.dispatcher, r); err != nil {
+		h.Fatal(err)
+	}
+	return r
+}
+
+// served has a request served, so that there are connections that may be used again.
+func (h *heldStateTest) served(id string) {
+	h.Helper()
+	if o := h.client.Wait(h.send(id)); o.Status != http.StatusOK || o.Err != nil {
+		h.Fatalf("%d, %v", o.Status, o.Err)
+	}
+	time.Sleep(50 * time.Millisecond) // connections rest for some milliseconds before they are used again
+}
+
+// until waits for a line of the request's trace.
+func (h *heldStateTest) until(text string) {
+	h.Helper()
+	for end := time.Now().Add(10 * time.Second); h.fleet.Ledger.Seen(heldRequest, text) == 0; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			h.Fatalf("no %q within 10 s:\n%s", text, h.fleet.Ledger.Trace(heldRequest))
+		}
+	}
+}
+
+// wantReleased waits for as long as a state may be held, and some more, and wants none left and no rule broken.
+func (h *heldStateTest) wantReleased() {
+	h.Helper()
+	time.Sleep(1500 * time.Millisecond)
+	for _, broken := range h.fleet.Ledger.Judge(soak.Now()) {
+		h.Errorf("%s\n%s", broken, h.dispatcher.Log(heldRequest))
+	}
+	if held := h.fleet.Ledger.Held(); len(held) > 0 {
+		h.Errorf("held for %v:\n%s\n%s", held, h.fleet.Ledger.Trace(heldRequest), h.dispatcher.Log(heldRequest))
+	}
+	if faults, err := h.dispatcher.Faults(); err != nil || len(faults) > 0 {
+		h.Errorf("%v: %v", err, faults)
+	}
+}
+
+// A state is released in time whatever happens to the attempts and releases of its request: real processes over loopback.
+func TestHeldStateOnLoopback(t *testing.T) {
+	for name, script := range map[string]func(h *heldStateTest){
+		"a write on a new connection does not arrive": func(h *heldStateTest) {
+			h.decode.Proxy.Hold(soak.Forward, true, false)
+			h.send(heldRequest)
+			h.until("read at r1")
+			h.until("begun to w1")
+		},
+		"a write on a kept connection does not arrive, another connection speaks": func(h *heldStateTest) {
+			h.served("0000000000000001")
+			h.decode.Proxy.Hold(soak.Forward, true, true) // of the connections that there are
+			h.send(heldRequest)
+			h.until("begun to w1")
+			other := soak.NewClient(h.fleet)
+			if err := other.Send(h.dispatcher, soak.Request{ID: "0000000000000002", Session: "1", Remaining: 4800 * time.Millisecond, Effect: "idempotent"}); err != nil {
+				h.Fatal(err)
+			}
+		},
+		"the decode server hangs and its system takes connections": func(h *heldStateTest) {
+			h.decode.Stop()
+			h.Cleanup(h.decode.Continue)
+			h.send(heldRequest)
+			h.until("begun to w1")
+		},
+		"a read ends after the release that followed its client's end": func(h *heldStateTest) {
+			h.fleet.Plan = func(_ string, read bool, _ string) soak.Plan { return soak.Plan{Work: 700 * time.Millisecond} }
+			h.prefill.Proxy.HoldCloses(true)
+			h.send(heldRequest)
+			h.until("arrived at r1")
+			h.client.Leave(heldRequest)
+			h.until("read at r1")
+			time.Sleep(1500 * time.Millisecond)
+			h.prefill.Proxy.HoldCloses(false)
+		},
+		"a prefill server is cut off as its client leaves": func(h *heldStateTest) {
+			h.fleet.Plan = func(_ string, read bool, _ string) soak.Plan { return soak.Plan{Work: 700 * time.Millisecond} }
+			h.send(heldRequest)
+			h.until("arrived at r1")
+			h.prefill.Proxy.Hold(soak.Forward, true, false)
+			h.client.Leave(heldRequest)
+			h.until("read at r1")
+			time.Sleep(1500 * time.Millisecond)
+			h.prefill.Proxy.Hold(soak.Forward, false, false)
+		},
+		"a server refuses a release": func(h *heldStateTest) {
+			refused := 0
+			h.fleet.ReleaseStatus = func(string, string) int {
+				if refused++; refused == 1 {
+					return http.StatusServiceUnavailable
+				}
+				return 0
+			}
+			h.fleet.Plan = func(_ string, read bool, _ string) soak.Plan {
+				if read {
+					return soak.Plan{}
+				}
+				return soak.Plan{Work: 200 * time.Millisecond}
+			}
+			h.send(heldRequest)
+			h.until("arrived at w1")
+			h.client.Leave(heldRequest)
+			h.until("release refused")
+		},
+		"a read that left its state is answered as failed": func(h *heldStateTest) {
+			h.fleet.Plan = func(_ string, read bool, _ string) soak.Plan {
+				if read {
+					return soak.Plan{Status: http.StatusInternalServerError}
+				}
+				return soak.Plan{}
+			}
+			h.send(heldRequest)
+			h.until("read at r1")
+			h.client.Leave(heldRequest)
+		},
+		"a write waits past a release beside it and is refused": func(h *heldStateTest) {
+			h.served("0000000000000001")
+			h.fleet.Plan = func(_ string, read bool, _ string) soak.Plan {
+				if read {
+					return soak.Plan{}
+				}
+				return soak.Plan{Work: 900 * time.Millisecond, Status: http.StatusServiceUnavailable}
+			}
+			h.send(heldRequest)
+			h.until("arrived at w1")
+			h.until("refused")
+			h.client.Leave(heldRequest)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHeldStateTest(t)
+			script(h)
+			h.wantReleased()
+		})
+	}
+}
+
+// What the ledger judges by is seen on accounts that are known to be right or wrong.
+func TestLedger(t *testing.T) {
+	for name, c := range map[string]struct {
+		events func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment)
+		broken int
+	}{
+		"released in time": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.ReadAt(at, "a", "r1", 1)
+			l.Released(ms(1200), "a", "w1")
+		}, 0},
+		"released late": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.ReadAt(at, "a", "r1", 1)
+			l.Released(ms(1400), "a", "w1")
+		}, 1},
+		"never released": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.Released(ms(-10), "a", "w1")
+			l.ReadAt(at, "a", "r1", 1)
+		}, 1},
+		"taken late": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.ReadAt(at, "a", "r1", 1)
+			l.ArrivedAt(ms(1500), "a", false, "w1", 2)
+		}, 1},
+		"its server died": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.ReadAt(at, "a", "r1", 1)
+			l.Died(ms(500), "r1")
+		}, 0},
+		"a write waits, then a release": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.ReadAt(at, "a", "r1", 1)
+			l.ArrivedAt(ms(100), "a", false, "w1", 2)
+			l.Released(ms(2000), "a", "r1") // passes it by
+			l.OverAt(ms(3000), "a", "w1", 2)
+			l.Released(ms(4000), "a", "r1")
+		}, 0},
+		"its dispatcher was killed": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.Sent(at, "a", "d1")
+			l.ReadAt(at, "a", "r1", 1)
+			l.Excuse(ms(10), "d1")
+		}, 0},
+	} {
+		at := soak.Now()
+		ms := func(n int) soak.Moment { return at + soak.Moment(n)*soak.Moment(time.Millisecond) }
+		l := soak.NewLedger(soak.UsualLimits(time.Second))
+		c.events(l, at, ms)
+		if broken := l.Judge(ms(5000)); len(broken) != c.broken {
+			t.Errorf("%s: %d rules broken, want %d: %s", name, len(broken), c.broken, fmt.Sprint(broken))
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/ledger.go
@@ -0,0 +1,367 @@
+// Package soak runs real dispatchers before stand-in model servers, each a process of its own, with a faulty network of proxies
+// between them, and judges the rules from the account that the servers keep.
+package soak
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Moment is a time on the machine's monotonic clock, which all processes share, in nanoseconds.
+type Moment int64
+
+// Now reads the machine's monotonic clock.
+func Now() Moment {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic(err) // the clock is part of every Linux
+	}
+	return Moment(t.Nano())
+}
+
+func (m Moment) sub(o Moment) time.Duration { return time.Duration(m - o) }
+
+// Limits are what the ledger judges by.
+type Limits struct {
+	Release    time.Duration // the release time of the settings
+	HeldSlack  time.Duration // more than that a state may be held
+	LateStart  time.Duration // an attempt may begin so long after its client has left
+	SecondCopy time.Duration // an attempt may arrive so long before the end of the one before is seen: they pass different sockets
+}
+
+// UsualLimits are the platform's, with some room for processes that wait for a core where the order of two sockets is judged.
+func UsualLimits(release time.Duration) Limits {
+	return Limits{Release: release, HeldSlack: 300 * time.Millisecond, LateStart: 300 * time.Millisecond, SecondCopy: 300 * time.Millisecond}
+}
+
+// connKey names a connection between a proxy and a server: the server, and the proxy's port.
+type connKey struct {
+	server string
+	port   int
+}
+
+// attempt is one that came whole to a server.
+type attempt struct {
+	read    bool
+	arrived Moment
+	begunAt Moment // its first byte left the dispatcher
+	closed  Moment // the dispatcher ended its connection; 0 = not yet
+	over    Moment // the server was done with it; 0 = not yet
+}
+
+// account is what the servers know of one request.
+type account struct {
+	owner    string
+	excused  bool
+	left     Moment // its client left; 0 = not
+	attempts map[connKey]*attempt
+	lastOver Moment // the last of its attempts was over
+	states   map[string]Moment
+	trace    []string
+}
+
+// Ledger is the account that the stand-in servers keep together, and the judge of the rules on it.
+type Ledger struct {
+	limits   Limits
+	mu       sync.Mutex
+	accounts map[string]*account
+	begun    map[connKey]beginning
+	began    Moment
+	broken   []string
+	Reads    int // that left a state
+	Releases int // that came to a server
+}
+
+type beginning struct {
+	id string
+	at Moment
+}
+
+// NewLedger makes an empty ledger.
+func NewLedger(limits Limits) *Ledger {
+	return &Ledger{limits: limits, accounts: map[string]*account{}, begun: map[connKey]beginning{}, began: Now()}
+}
+
+func (l *Ledger) account(id string) *account {
+	a := l.accounts[id]
+	if a == nil {
+		a = &account{attempts: map[connKey]*attempt{}, states: map[string]Moment{}}
+		l.accounts[id] = a
+	}
+	return a
+}
+
+// note adds a line to a request's trace.
+func (l *Ledger) note(a *account, at Moment, format string, args ...any) {
+	a.trace = append(a.trace, fmt.Sprintf("%.3f ", at.sub(l.began).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// breakRule takes down a broken rule with the request's trace.
+func (l *Ledger) breakRule(id string, a *account, format string, args ...any) {
+	if a.excused {
+		return
+	}
+	l.broken = append(l.broken, fmt.Sprintf("%s: request %s of %s\n    %s", fmt.Sprintf(format, args...), id, a.owner, strings.Join(a.trace, "\n    ")))
+}
+
+// Sent tells that a client has sent a request to a dispatcher.
+func (l *Ledger) Sent(at Moment, id, dispatcher string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(id)
+	a.owner = dispatcher
+	l.note(a, at, "sent to %s", dispatcher)
+}
+
+// Left tells that a request's client has closed its connection.
+func (l *Ledger) Left(at Moment, id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(id)
+	a.left = at
+	l.note(a, at, "client left")
+}
+
+// Note adds what a client saw to the trace of its request.
+func (l *Ledger) Note(at Moment, id, text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.note(l.account(id), at, "%s", text)
+}
+
+// Lost takes down that a client did not get the answer that it was owed.
+func (l *Ledger) Lost(id, why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.breakRule(id, l.account(id), "lost: %s", why)
+}
+
+// Excuse tells that a dispatcher was killed: what it held is not its duty any more.
+func (l *Ledger) Excuse(at Moment, dispatcher string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, a := range l.accounts {
+		if a.owner == dispatcher {
+			a.excused = true
+			l.note(a, at, "%s killed", dispatcher)
+		}
+	}
+}
+
+// Begun tells that the first byte of an attempt has left a dispatcher.
+func (l *Ledger) Begun(at Moment, id string, on connKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.begun[on] = beginning{id, at}
+	a := l.account(id)
+	l.note(a, at, "begun to %s:%d", on.server, on.port)
+	if a.left > 0 && at.sub(a.left) > l.limits.LateStart {
+		l.breakRule(id, a, "lost: an attempt began %v after its client had left", at.sub(a.left))
+	}
+}
+
+// Closed tells that a dispatcher has ended, or ended its sending on, a connection.
+func (l *Ledger) Closed(at Moment, on connKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b, ok := l.begun[on]
+	if !ok {
+		return
+	}
+	delete(l.begun, on)
+	a := l.account(b.id)
+	l.note(a, at, "closed by the dispatcher, %s:%d", on.server, on.port)
+	if t := a.attempts[on]; t != nil && t.closed == 0 {
+		t.closed = at
+		if t.read && t.over == 0 {
+			a.lastOver = max(a.lastOver, at)
+		}
+	}
+}
+
+// out tells whether one of a request's attempts is out: it came to a server, and neither that is done with it nor, for a read, has
+// the dispatcher ended it. A write whose end has not come to its server waits there, and keeps its state.
+func (a *account) out() bool {
+	for _, t := range a.attempts {
+		if t.over == 0 && !(t.read && t.closed > 0) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeHeld looks at the states of a request as something happens to it.
+func (l *Ledger) judgeHeld(at Moment, id string, a *account, what string) {
+	if a.out() {
+		return
+	}
+	for server, since := range a.states {
+		since = max(since, a.lastOver)
+		if held := at.sub(since); held > l.limits.Release+l.limits.HeldSlack {
+			l.breakRule(id, a, "held: a state at %s for %v, then %s", server, held.Round(time.Millisecond), what)
+			delete(a.states, server)
+		}
+	}
+}
+
+// Arrived tells that an attempt has come whole to a server.
+func (l *Ledger) Arrived(at Moment, id string, read bool, on connKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(id)
+	l.note(a, at, "arrived at %s:%d", on.server, on.port)
+	l.judgeHeld(at, id, a, "an attempt")
+	fresh := &attempt{read: read, arrived: at, begunAt: l.begun[on].at}
+	for key, t := range a.attempts {
+		if t.over == 0 && (t.closed == 0 || t.closed.sub(at) > l.limits.SecondCopy) && key != on {
+			go l.judgeCopy(id, a, key, t, fresh)
+		}
+	}
+	a.attempts[on] = fresh
+}
+
+// judgeCopy waits for the end of an attempt that was out as another arrived.
+func (l *Ledger) judgeCopy(id string, a *account, key connKey, first, second *attempt) {
+	time.Sleep(l.limits.SecondCopy)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if first.closed == 0 && first.over == 0 {
+		l.breakRule(id, a, "duplicate: an attempt arrived while the one at %s was out", key.server)
+	}
+}
+
+// Read tells that a read has ended at its server: it holds the state.
+func (l *Ledger) Read(at Moment, id string, on connKey) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(id)
+	l.note(a, at, "read at %s:%d", on.server, on.port)
+	l.Reads++
+	a.states[on.server] = at
+	l.finish(at, a, on)
+}
+
+// Over tells that a server is done with an attempt.
+func (l *Ledger) Over(at Moment, id string, on connKey, how string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(id)
+	l.note(a, at, "over at %s:%d, %s", on.server, on.port, how)
+	l.finish(at, a, on)
+}
+
+func (l *Ledger) finish(at Moment, a *account, on connKey) {
+	if t := a.attempts[on]; t != nil && t.over == 0 {
+		t.over = at
+		if !(t.read && t.closed > 0 && t.closed < at) { // what the dispatcher had given up was over for it before
+			a.lastOver = max(a.lastOver, at)
+		}
+	}
+}
+
+// Fetch has a server take the state of a request; false: there is none.
+func (l *Ledger) Fetch(at Moment, id string, on connKey) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(id)
+	found := len(a.states) > 0
+	l.note(a, at, "fetched by %s:%d: %v", on.server, on.port, found)
+	clear(a.states)
+	return found
+}
+
+// Released tells that a release has come to a server. What an attempt waits for stays.
+func (l *Ledger) Released(at Moment, id, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.account(id)
+	l.Releases++
+	l.note(a, at, "release at %s", server)
+	for _, t := range a.attempts {
+		if !t.read && t.over == 0 {
+			return
+		}
+	}
+	l.judgeHeld(at, id, a, "a release")
+	clear(a.states)
+}
+
+// Died tells that a server's process is gone, with all that it held.
+func (l *Ledger) Died(at Moment, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, a := range l.accounts {
+		if _, held := a.states[server]; held {
+			l.judgeHeld(at, id, a, "its server died")
+			delete(a.states, server)
+		}
+		for on, t := range a.attempts {
+			if on.server == server && t.over == 0 {
+				l.finish(at, a, on)
+				l.note(a, at, "%s died", server)
+			}
+		}
+	}
+}
+
+// Held gives the requests for which a state is held.
+func (l *Ledger) Held() (ids []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, a := range l.accounts {
+		if len(a.states) > 0 && !a.excused {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Seen counts the lines of a request's trace that contain a text.
+func (l *Ledger) Seen(id, text string) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, line := range l.account(id).trace {
+		if strings.Contains(line, text) {
+			n++
+		}
+	}
+	return n
+}
+
+// Trace gives what happened to a request.
+func (l *Ledger) Trace(id string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Join(l.account(id).trace, "\n")
+}
+
+// Judge looks at what is still held and gives the rules that were broken.
+func (l *Ledger) Judge(at Moment) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, a := range l.accounts {
+		l.judgeHeld(at, id, a, "the end of the run")
+	}
+	return append([]string(nil), l.broken...)
+}
+
+// ReadAt, ArrivedAt and OverAt are Read, Arrived and Over with the connection by its parts, for scripts.
+func (l *Ledger) ReadAt(at Moment, id, server string, port int) {
+	l.Read(at, id, connKey{server, port})
+}
+
+// ArrivedAt is Arrived with the connection by its parts.
+func (l *Ledger) ArrivedAt(at Moment, id string, read bool, server string, port int) {
+	l.Arrived(at, id, read, connKey{server, port})
+}
+
+// OverAt is Over with the connection by its parts.
+func (l *Ledger) OverAt(at Moment, id, server string, port int) {
+	l.Over(at, id, connKey{server, port}, "over")
+}
