Randomized fault soak of real processes: docksail lab soak; a wrong alarm put right

Added: internal/lab/soak draws by seed a fleet of 10 to 40 processes, clients that leave, answers that fail and overlapping faults (processes stopped, killed, ended, reloaded; proxies that hold, delay, cut or refuse, one way or both; discovery away) and judges held states, second copies, late starts and lost answers from the servers' account; a violation that a dispatcher logs counts as well. The same seed draws the same schedule, which a failing run prints.

Cause: exit/platform conn.writeAttempt asked whether a release was owed; one that is owed and held back for the read is not under way. It asks for releases on connections now.

--- a/cmd/docksail/lab.go
+++ b/cmd/docksail/lab.go
@@ -30,7 +30,7 @@
 
 func labCommand() *cobra.Command {
 	lab := &cobra.Command{Use: "lab", Short: "Play with stand-ins on loopback"}
-	lab.AddCommand(demoCommand(), drillCommand(), simCommand(), runCommand(), exploreCommand(), reportCommand(), loadCommand(), calibrateCommand(), importCommand(), measureCommand(), enginesCommand(), baselineCommand(), modelServerCommand())
+	lab.AddCommand(demoCommand(), drillCommand(), simCommand(), runCommand(), exploreCommand(), reportCommand(), loadCommand(), calibrateCommand(), importCommand(), measureCommand(), enginesCommand(), baselineCommand(), modelServerCommand(), soakCommand())
 	return lab
 }
 
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -114,7 +114,7 @@
 func (c *conn) writeAttempt(now loop.Nanos) bool {
 	req := c.request
 	s := c.exit.settlements[req.ID]
-	if err := req.MayWrite(s != nil && s.underWay()); err != nil {
+	if err := req.MayWrite(s != nil && len(s.tries) > 0); err != nil {
 		c.exit.violated(req.ClientID, c.server, err)
 		c.dropAttempt()
 		return false
