--- a/cmd/docksail/heldstate_test.go
+++ b/cmd/docksail/heldstate_test.go
@@ -225,8 +225,21 @@
 			l.ArrivedAt(ms(100), "a", false, "w1", 2)
 			l.Released(ms(2000), "a", "r1") // passes it by
 			l.OverAt(ms(3000), "a", "w1", 2)
+			l.ClosedAt(ms(3010), "a", "w1", 2)
 			l.Released(ms(4000), "a", "r1")
 		}, 0},
+		"a write waits, then no release": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.ReadAt(at, "a", "r1", 1)
+			l.ArrivedAt(ms(100), "a", false, "w1", 2)
+			l.Released(ms(2000), "a", "r1") // passes it by
+			l.OverAt(ms(3000), "a", "w1", 2)
+			l.ClosedAt(ms(3010), "a", "w1", 2)
+		}, 1},
+		"a read's answer is held up": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
+			l.ArrivedAt(at, "a", true, "r1", 1)
+			l.ReadAt(ms(100), "a", "r1", 1)
+			l.ArrivedAt(ms(2000), "a", false, "w1", 2)
+		}, 0},
 		"its dispatcher was killed": {func(l *soak.Ledger, at soak.Moment, ms func(int) soak.Moment) {
 			l.Sent(at, "a", "d1")
 			l.ReadAt(at, "a", "r1", 1)
--- a/cmd/docksail/soak.go
+++ b/cmd/docksail/soak.go
@@ -39,7 +39,7 @@
 	var first uint64
 	var seeds, most int
 	var length time.Duration
-	var folder string
+	var folder, dispatcher string
 	c := &cobra.Command{
 		Use:   "soak",
 		Short: "Run real dispatchers before stand-in servers under random faults and judge the rules",
@@ -51,15 +51,13 @@
 			if err != nil {
 				return err
 			}
+			if dispatcher == "" {
+				dispatcher = self
+			}
 			broken := 0
 			for n := range seeds {
 				seed := first + uint64(n)
-				s := soak.Soak{Seed: seed, Length: length, Most: most, Folder: filepath.Join(folder, fmt.Sprint(seed)),
-					Program: func(args ...string) *exec.Cmd {
-						p := exec.Command(self, args...)
-						p.Env = os.Environ()
-						return p
-					}}
+				s := soak.Soak{Seed: seed, Length: length, Most: most, Folder: filepath.Join(folder, fmt.Sprint(seed)), Program: runs(self), Dispatcher: runs(dispatcher)}
 				v, err := s.Run()
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", seed, err)
@@ -79,6 +77,16 @@
 	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds, one after another")
 	c.Flags().IntVar(&most, "processes", 0, "processes at most; 0 = what the seed gives, 10 to 40")
 	c.Flags().DurationVar(&length, "length", 10*time.Second, "of traffic and faults")
+	c.Flags().StringVar(&dispatcher, "dispatcher", "", "program of the dispatchers, to try another build; empty = this one")
 	c.Flags().StringVar(&folder, "logs", filepath.Join(os.TempDir(), "docksail-soak"), "folder for the dispatchers' logs")
 	return c
 }
+
+// runs makes commands of a program.
+func runs(program string) soak.Program {
+	return func(args ...string) *exec.Cmd {
+		c := exec.Command(program, args...)
+		c.Env = os.Environ()
+		return c
+	}
+}
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -198,6 +198,9 @@
 			from.Close()
 			break
 		}
+		if way == Back {
+			c.proxy.ledger.Answered(Now(), c.key)
+		}
 	}
 	for range pieces { // it was cut: what still comes goes nowhere
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -19,7 +19,9 @@
 	Length  time.Duration // of traffic and faults
 	Most    int           // processes; 0 = what the seed gives, 10 to 40
 	Program Program
-	Folder  string // keeps the logs of dispatchers
+	// Dispatcher makes the dispatchers' commands; nil: Program does.
+	Dispatcher Program
+	Folder     string // keeps the logs of dispatchers
 }
 
 // Verdict is what a soak has found.
@@ -142,6 +144,9 @@
 		return v, err
 	}
 	defer f.Close()
+	if s.Dispatcher != nil {
+		f.dispatcherProgram = s.Dispatcher
+	}
 	f.Plan = func(id string, read bool, server string) Plan { return plan(s.Seed, id, read, server) }
 	f.ReleaseStatus = func(id, server string) int {
 		if hash(id+server+"release")%refusedReleases == 0 {
