Accept fails for a moment: who waits is not closed; lost gRPC releases are told

Listener.take treated ENFILE, ENOBUFS and ENOMEM as a want of descriptors of our own and closed the first waiting client unread (shed); they are the machine's and may be over at once, so the listener rests and the client waits. The failing case: TestAcceptFailsForAMoment, ENFILE, ENOBUFS and ENOMEM (ECONNABORTED and EPROTO passed before). A release over gRPC whose answer was an error was taken for done in silence: it counts in ReleasesLost and is logged with the request's id, as are those that found no connection; the engine's own time ends the state (TestReleaseAnsweredByEngine).

Soak: dispatchers with few descriptors, release time of 400 ms, SIGHUP and a second SIGTERM under way.

go test of loop and dispatch passes.

--- a/internal/dispatch/grpcconn.go
+++ b/internal/dispatch/grpcconn.go
@@ -138,6 +138,9 @@
 	if !k.ready {
 		d.log.Info("engine not reached", "server", k.server.id, "err", err)
 		d.Counts.ReleasesLost += uint64(len(k.server.releases)) // its process has ended, or lets go by its own time
+		for _, release := range k.server.releases {
+			d.log.Warn("release lost", "request", d.requestName(release.request), "server", k.server.id, "why", "not reached")
+		}
 		k.server.releases = k.server.releases[:0]
 	}
 	queue := k.queue
@@ -217,6 +220,15 @@
 	k.touch()
 }
 
+// releaseAnswered takes down a release that an engine did not take: what it holds ends by its own time.
+func (k *serverConn) releaseAnswered(release pendingRelease, code codes.Code) {
+	if code == codes.OK {
+		return
+	}
+	k.d.Counts.ReleasesLost++
+	k.d.log.Warn("release lost", "request", k.d.requestName(release.request), "server", k.server.id, "why", code.String())
+}
+
 // ---- What HTTP/2 tells.
 
 // request of a stream, if the stream is still its attempt.
@@ -249,6 +261,11 @@
 
 func (k *serverConn) Finished(s *h2.Stream, code codes.Code, _ string, trailer *h2.Header) {
 	k.pings = 0
+	if release, ok := s.Tag.(pendingRelease); ok {
+		s.Tag = nil
+		k.releaseAnswered(release, code)
+		return
+	}
 	req := k.request(s)
 	if req == nil {
 		return
--- /dev/null
+++ b/internal/dispatch/grpcrelease_test.go
@@ -0,0 +1,22 @@
+package dispatch
+
+import (
+	"log/slog"
+	"testing"
+
+	"google.golang.org/grpc/codes"
+
+	"docksail/internal/h2"
+)
+
+// A release that an engine answers with an error is counted as lost, one that it takes is not.
+func TestReleaseAnsweredByEngine(t *testing.T) {
+	for code, want := range map[codes.Code]uint64{codes.OK: 0, codes.Unavailable: 1, codes.Internal: 1} {
+		d := &Dispatcher{log: slog.New(slog.DiscardHandler)}
+		k := &serverConn{d: d, server: &grpcServer{d: d}}
+		k.Finished(&h2.Stream{Tag: pendingRelease{1, 0}}, code, "", nil)
+		if d.Counts.ReleasesLost != want {
+			t.Errorf("%s: %d lost, want %d", code, d.Counts.ReleasesLost, want)
+		}
+	}
+}
--- a/internal/dispatch/grpcserver.go
+++ b/internal/dispatch/grpcserver.go
@@ -118,6 +118,7 @@
 	}
 	if !keepalive.MayRelease(len(srv.releases)) || srv.linkFor(now) == nil {
 		srv.d.Counts.ReleasesLost++
+		srv.d.log.Warn("release lost", "request", srv.d.requestName(id), "server", srv.id, "why", "no connection")
 		return
 	}
 	srv.releases = append(srv.releases, pendingRelease{id, attempt})
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -59,7 +59,8 @@
 	longestDelay  = 400 * time.Millisecond
 	longestHoldUp = 150 * time.Millisecond // of a dispatcher, by the platform's word
 	// endGrace is how long after SIGTERM the platform kills at the soonest: the longest deadline, counted as 3 s at most, and 0.7 s.
-	endGrace = 3700 * time.Millisecond
+	endGrace  = 3700 * time.Millisecond
+	signalGap = 200 * time.Millisecond // between the signals to a dispatcher that is to end
 )
 
 // span draws a length between two.
@@ -169,8 +170,11 @@
 		time.Sleep(fault.For / 4)
 		return d.Start()
 	case dispatcherEnds:
-		d.Signal(syscall.SIGTERM)
-		err, ended := d.Ended(fault.For)
+		for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} { // impatient operators
+			d.Signal(signal)
+			time.Sleep(signalGap)
+		}
+		err, ended := d.Ended(fault.For - 3*signalGap)
 		if ended && err != nil {
 			return fmt.Errorf("dispatcher %s ended with %w", d.Name, err)
 		}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -60,6 +60,7 @@
 	prefill, decode, dispatchers, clients int
 	release                               time.Duration
 	cancel                                bool
+	sockets                               int           // of a dispatcher
 	every                                 time.Duration // a fault comes, on average
 }
 
@@ -68,6 +69,9 @@
 	mostProcesses   = 40
 	// clientsEach dispatcher has.
 	clientsEach = 4
+	// Descriptors of a dispatcher, as told.
+	usualSockets = 1024
+	fewSockets   = 60
 )
 
 func drawShape(rng *rand.Rand, most int) shape {
@@ -76,8 +80,15 @@
 	}
 	total := fewestProcesses + rng.IntN(max(most-fewestProcesses, 0)+1)
 	s := shape{dispatchers: max(total/4, 2), release: time.Second, cancel: rng.IntN(3) > 0, every: span(rng, 60*time.Millisecond, 400*time.Millisecond)}
-	if rng.IntN(3) == 0 {
+	switch rng.IntN(4) {
+	case 0:
 		s.release = 700 * time.Millisecond
+	case 1:
+		s.release = 400 * time.Millisecond
+	}
+	s.sockets = usualSockets
+	if rng.IntN(4) == 0 {
+		s.sockets = fewSockets
 	}
 	s.prefill = max((total-s.dispatchers)/2, 3)
 	s.decode = max(total-s.dispatchers-s.prefill, 3)
@@ -134,7 +145,7 @@
 	rng := rand.New(rand.NewPCG(s.Seed, 1))
 	shape := drawShape(rng, s.Most)
 	v = Verdict{Seed: s.Seed, Processes: shape.prefill + shape.decode + shape.dispatchers,
-		Settings: fmt.Sprintf("%d prefill, %d decode, %d dispatchers, release %v, cancel %v", shape.prefill, shape.decode, shape.dispatchers, shape.release, shape.cancel)}
+		Settings: fmt.Sprintf("%d prefill, %d decode, %d dispatchers, %d sockets, release %v, cancel %v", shape.prefill, shape.decode, shape.dispatchers, shape.sockets, shape.release, shape.cancel)}
 	v.Schedule = schedule(rng, shape.prefill, shape.decode, shape.dispatchers, s.Length, shape.every)
 	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
 		return v, err
@@ -144,6 +155,7 @@
 		return v, err
 	}
 	defer f.Close()
+	f.Sockets = shape.sockets
 	if s.Dispatcher != nil {
 		f.dispatcherProgram = s.Dispatcher
 	}
--- a/internal/loop/listener.go
+++ b/internal/loop/listener.go
@@ -14,6 +14,7 @@
 	fd     int
 	addr   netip.AddrPort
 	accept func(c *Conn, from netip.AddrPort) Handler
+	system func(fd, flags int) (int, unix.Sockaddr, error) // accept4; a test may stand in for it
 	rest   Timer
 
 	// In a world:
@@ -51,7 +52,7 @@
 	if err != nil {
 		return fail("getsockname", err)
 	}
-	ln := &Listener{l: l, fd: fd, addr: addrPort(bound), accept: accept}
+	ln := &Listener{l: l, fd: fd, addr: addrPort(bound), accept: accept, system: unix.Accept4}
 	if err := l.watch(fd, unix.EPOLLIN, ln); err != nil {
 		unix.Close(fd)
 		return nil, err
@@ -111,14 +112,17 @@
 func (ln *Listener) take(most int) {
 	l := ln.l
 	for range most {
-		fd, from, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, from, err := ln.system(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
 		case nil:
 		case unix.EINTR, unix.ECONNABORTED:
 			continue
-		case unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM:
+		case unix.EMFILE:
 			ln.shed()
 			return
+		case unix.ENFILE, unix.ENOBUFS, unix.ENOMEM: // the machine's want, which may be over in a moment: whoever waits goes on waiting
+			ln.pause()
+			return
 		default: // EAGAIN: nobody waits
 			return
 		}
@@ -140,16 +144,23 @@
 	}
 }
 
-// shed closes one waiting connection with the spare descriptor, so that its client learns at once, and rests:
-// a listener that is left ready would spin the loop.
+// shed closes one waiting connection with the spare descriptor, so that its client learns at once, and rests.
 func (ln *Listener) shed() {
 	l := ln.l
-	l.rests++
-	unix.Close(l.spare)
-	if fd, _, err := unix.Accept4(ln.fd, unix.SOCK_CLOEXEC); err == nil {
+	if l.spare >= 0 {
+		unix.Close(l.spare)
+	}
+	if fd, _, err := ln.system(ln.fd, unix.SOCK_CLOEXEC); err == nil {
 		unix.Close(fd)
 	}
 	l.spare, _ = unix.Open("/dev/null", unix.O_RDONLY|unix.O_CLOEXEC, 0)
+	ln.pause()
+}
+
+// pause has the listener rest for a while: one that is left ready would spin the loop.
+func (ln *Listener) pause() {
+	l := ln.l
+	l.rests++
 	l.rewatch(ln.fd, 0)
 	l.At(&ln.rest, l.now+int64(acceptRest), func(Nanos) { l.rewatch(ln.fd, unix.EPOLLIN) })
 }
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -407,6 +407,33 @@
 	until(t, on, "accepted again", func() bool { return accepted.Load() > 0 })
 }
 
+// Where the machine, not the process, is short of something for a moment, whoever waits is accepted once that is over, and nobody is
+// closed unread.
+func TestAcceptFailsForAMoment(t *testing.T) {
+	for _, want := range []unix.Errno{unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ECONNABORTED, unix.EPROTO} {
+		t.Run(want.Error(), func(t *testing.T) {
+			l, on := running(t)
+			var accepted atomic.Int64
+			ln := listen(t, l, on, func(c *Conn) Handler { accepted.Add(1); return &peer{c: c} })
+			calls := 0
+			on(func() {
+				ln.system = func(fd, flags int) (int, unix.Sockaddr, error) {
+					if calls++; calls == 1 {
+						return -1, nil, want
+					}
+					return unix.Accept4(fd, flags)
+				}
+			})
+			c, err := net.DialTimeout("tcp", ln.Addr().String(), 5*time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			until(t, on, "accepted", func() bool { return accepted.Load() == 1 })
+		})
+	}
+}
+
 func TestTimers(t *testing.T) {
 	ts := newTimers()
 	var fired []int
