--- a/internal/decide/effects/settlement.go
+++ b/internal/decide/effects/settlement.go
@@ -90,8 +90,8 @@
 	s.heldSince = min(s.heldSince, heldSince)
 }
 
-// GivenUp tells that an attempt has ended here which its server may have, and may work on until a time. watched: its connection is kept to see
-// its end.
+// GivenUp tells that an attempt has ended here which its server may have, and can be expected to work on until a time: the platform's page
+// says of an attempt whose time is over that it may run yet. watched: its connection is kept to see its end.
 func (s *Settlement) GivenUp(now, until int64, watched bool) {
 	if watched {
 		s.watched++
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -439,7 +439,7 @@
 	c.request = nil
 	srv, sent, wired := c.server, c.sentAt, c.ready
 	if s := c.settlementFor(req); s != nil && written && !answered {
-		c.watch(now, s, req.SentAt+req.Timeout)
+		c.watch(now, s)
 	} else {
 		c.conn.Close()
 		c.leave()
@@ -461,7 +461,7 @@
 // leftBehind takes down that an attempt was lost with its connection: its server may work on it.
 func (c *conn) leftBehind(now loop.Nanos, req *dispatch.Request) {
 	if s := c.settlementFor(req); s != nil {
-		s.account.GivenUp(now, req.SentAt+req.Timeout, false)
+		s.account.GivenUp(now, now+c.exit.longestWait, false)
 		s.actSoon(now)
 	}
 }
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -90,6 +90,7 @@
 	idle        order.Heap[*conn] // by since when
 	settlements map[policy.RequestID]*settlement
 	releaseTime int64
+	longestWait int64 // of the classes: a server may work for so long on what was given up
 	discovery   discovery
 	rng         *rand.Rand
 	scratch     []byte
@@ -110,6 +111,9 @@
 		Less: func(a, b *conn) bool {
 			return a.idleSince < b.idleSince || a.idleSince == b.idleSince && a.number < b.number
 		}}
+	for _, class := range m.Classes {
+		x.longestWait = max(x.longestWait, int64(class.Timeout))
+	}
 	x.rng = rand.New(rand.NewPCG(m.Seed, 0))
 	x.discovery.init(x, discovery, m.ListOnRequest)
 	return x
--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -277,14 +277,14 @@
 // ---- Connections of attempts that were given up.
 
 // watch keeps the connection of an attempt that is given up: its sending is ended, which is how the server learns of it, and the server's
-// own end tells that it has. until is how long the server was told that it has.
-func (c *conn) watch(now loop.Nanos, s *settlement, until loop.Nanos) {
+// own end tells that it has.
+func (c *conn) watch(now loop.Nanos, s *settlement) {
 	c.settles = s
 	c.exit.loop.Cancel(&c.timer)
 	c.conn.Pause(false)
 	c.conn.EndOutput()
 	s.watched = append(s.watched, c)
-	s.account.GivenUp(now, until, true)
+	s.account.GivenUp(now, now+c.exit.longestWait, true)
 	s.actSoon(now)
 }
 
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -393,10 +393,11 @@
 		return
 	default:
 	}
-	d.fleet.Ledger.Excuse(Now(), d.Name)
+	at := Now()
+	d.fleet.Ledger.Excuse(at, d.Name)
 	process.Process.Kill()
 	done <- <-done
-	d.fleet.Ledger.Excuse(Now(), d.Name) // what came meanwhile, too
+	d.fleet.Ledger.Excuse(at, d.Name) // what came meanwhile, too
 }
 
 // Ended waits for the end of the process; false: it has not ended in time. An end with an error is one too.
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -79,11 +80,18 @@
 	accounts map[string]*account
 	begun    map[connKey]beginning
 	began    Moment
-	broken   []string
+	broken   []brokenRule
 	Reads    int // that left a state
 	Releases int // that came to a server
 }
 
+// brokenRule is a rule that was broken for a request, and when that was seen.
+type brokenRule struct {
+	at   Moment
+	id   string
+	text string
+}
+
 // beginning is an attempt that has left a dispatcher on a connection.
 type beginning struct {
 	id     string
@@ -115,7 +123,8 @@
 	if a.excused {
 		return
 	}
-	l.broken = append(l.broken, fmt.Sprintf("%s: request %s of %s\n    %s", fmt.Sprintf(format, args...), id, a.owner, strings.Join(a.trace, "\n    ")))
+	text := fmt.Sprintf("%s: request %s of %s\n    %s", fmt.Sprintf(format, args...), id, a.owner, strings.Join(a.trace, "\n    "))
+	l.broken = append(l.broken, brokenRule{Now(), id, text})
 }
 
 // Sent tells that a client has sent a request to a dispatcher.
@@ -150,7 +159,7 @@
 	l.breakRule(id, l.account(id), "lost: %s", why)
 }
 
-// Excuse tells that a dispatcher was killed: what it held is not its duty any more.
+// Excuse tells that a dispatcher's process was killed at that time: what it held is not its duty any more, nor is what was seen of it since.
 func (l *Ledger) Excuse(at Moment, dispatcher string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -160,6 +169,7 @@
 			l.note(a, at, "%s killed", dispatcher)
 		}
 	}
+	l.broken = slices.DeleteFunc(l.broken, func(b brokenRule) bool { return b.at >= at && l.accounts[b.id].owner == dispatcher })
 }
 
 // Begun tells that the first byte of an attempt has left a dispatcher.
@@ -384,7 +394,11 @@
 	for id, a := range l.accounts {
 		l.judgeHeld(at, id, a, "the end of the run")
 	}
-	return append([]string(nil), l.broken...)
+	var texts []string
+	for _, b := range l.broken {
+		texts = append(texts, b.text)
+	}
+	return texts
 }
 
 // ReadAt is Read with the connection by its parts, for scripts.
--- a/internal/node/scripted_test.go
+++ b/internal/node/scripted_test.go
@@ -86,6 +86,13 @@
 // isRelease tells that it has the state of a request dropped.
 func (r *scriptedRequest) isRelease() bool { return strings.HasPrefix(r.line, "DELETE ") }
 
+// field gives a field of its head.
+func (r *scriptedRequest) field(name string) string {
+	_, rest, _ := strings.Cut(r.head, name+":")
+	value, _, _ := strings.Cut(rest, "\r\n")
+	return strings.TrimSpace(value)
+}
+
 // say writes a piece of an answer. It belongs to the loop, as answer does.
 func (r *scriptedRequest) say(text string) { r.conn.conn.Write([]byte(text)) }
 
