Held state: a release beside an attempt is followed by one after it; more of it decided in effects

Cause: Settlement took a release for final whatever was out as it was sent; only the early release beside a write was followed by another (Record, writtenOff). Settlement.Began takes down that an attempt was out; another release follows its end. TestSettlementBesideAnAttempt.

Moved into effects: whether bytes of an attempt may be written (MayWrite: answered, server not serving, crossing a release, too late) and how the connection of an attempt that ends is left (Parting, LeavesBehind); exit/platform asked these by itself. After a first round in vain releases go by who was heard last, kept connection or not.

--- a/internal/decide/effects/effects.go
+++ b/internal/decide/effects/effects.go
@@ -79,3 +79,24 @@
 // KnownArrived tells that the server is known to have all of it. A connect that worked, bytes that the system took and signs of
 // life on other connections are no proof.
 func (e *Effect) KnownArrived() bool { return e.stage == Arrived }
+
+// Parting is how the connection of an attempt that ends here is left.
+type Parting uint8
+
+const (
+	CloseAtOnce Parting = iota
+	// WatchForEnd ends the sending on it, which is how the server learns that the attempt is given up, and keeps it until the server's end shows that it has.
+	WatchForEnd
+)
+
+// Parting tells how to leave the connection of an attempt. answered: something came back, so that its server is done with it; streaming: its answer has
+// begun, and the state is taken.
+func (e *Effect) Parting(answered, streaming bool) Parting {
+	if e.MayHaveArrived() && !answered && !streaming {
+		return WatchForEnd
+	}
+	return CloseAtOnce
+}
+
+// LeavesBehind tells that an attempt whose connection was lost may go on at its server, and leave a state or keep the one that it was to take.
+func (e *Effect) LeavesBehind(streaming bool) bool { return e.stage == GivenUp && !streaming }
--- a/internal/decide/effects/record.go
+++ b/internal/decide/effects/record.go
@@ -14,8 +14,12 @@
 	ErrNoState  = errors.New("no state is held that could be released")
 	ErrNeeded   = errors.New("a release now would take a state that an attempt needs")
 	ErrCrossing = errors.New("a read may not be sent while a release of the request is under way")
+	ErrDraining = errors.New("nothing new may be sent to a server that drains or is gone")
 )
 
+// ErrTooLate is no fault: the connection of a repeat took longer to come up than its group remembers the first run.
+var ErrTooLate = errors.New("the attempt may not be begun any more")
+
 // stateAccount is what is known of the state of a request.
 type stateAccount uint8
 
@@ -72,16 +76,27 @@
 // Attempts counts the attempts so far.
 func (r *Record) Attempts() int32 { return r.attempts }
 
-// MayWrite tells whether the bytes of the attempt that is out may be written now, as its connection has come up or what it waited for is
-// over. releasing: a release of the request is under way.
-func (r *Record) MayWrite(releasing bool) error {
+// WriteFacts are what is known as the bytes of an attempt are about to be written.
+type WriteFacts struct {
+	Now       int64
+	Before    int64 // it may begin until then
+	Serving   bool  // its server is listed as one that takes requests
+	Releasing bool  // a release of the request is under way
+}
+
+// MayWrite tells whether the bytes of the attempt that is out may be written now, as its connection has come up or what it waited for is over.
+func (r *Record) MayWrite(f WriteFacts) error {
 	switch {
 	case !r.out:
 		return ErrNotOut
 	case r.answered:
 		return ErrAnswered
-	case r.kind == Read && releasing:
+	case !f.Serving:
+		return ErrDraining
+	case r.kind == Read && f.Releasing:
 		return ErrCrossing
+	case f.Now >= f.Before:
+		return ErrTooLate
 	}
 	return nil
 }
--- a/internal/decide/effects/record_test.go
+++ b/internal/decide/effects/record_test.go
@@ -154,11 +154,14 @@
 // A release must not take what an attempt needs, a read must not cross a release.
 func TestMayReleaseAndWrite(t *testing.T) {
 	r := Record{}
-	if r.MayRelease(Planned) != nil || r.MayWrite(false) != ErrNotOut {
+	free := WriteFacts{Now: 5, Before: 6, Serving: true}
+	releasing, draining, late := free, free, free
+	releasing.Releasing, draining.Serving, late.Now = true, false, 6
+	if r.MayRelease(Planned) != nil || r.MayWrite(free) != ErrNotOut {
 		t.Error("nothing is out or held")
 	}
 	number, _ := r.BeginAttempt(Read)
-	if r.MayRelease(Planned) != nil || r.MayRelease(Connecting) != ErrNeeded || r.MayWrite(true) != ErrCrossing || r.MayWrite(false) != nil {
+	if r.MayRelease(Planned) != nil || r.MayRelease(Connecting) != ErrNeeded || r.MayWrite(releasing) != ErrCrossing || r.MayWrite(free) != nil {
 		t.Error("a read that waits lets a release pass, one that is sent does not")
 	}
 	r.EndAttempt(9, number, policy.Read, 3, Arrived, true)
@@ -166,7 +169,10 @@
 		t.Error("a state is held")
 	}
 	r.BeginAttempt(Write)
-	if r.MayRelease(Written) != ErrNeeded || r.MayWrite(true) != nil {
+	if r.MayWrite(draining) != ErrDraining || r.MayWrite(late) != ErrTooLate {
+		t.Error("not to a server that drains, not when it is too late")
+	}
+	if r.MayRelease(Written) != ErrNeeded || r.MayWrite(releasing) != nil {
 		t.Error("a write takes the state")
 	}
 	r.Begun()
@@ -174,7 +180,7 @@
 		t.Error("its answer has begun")
 	}
 	r.Answer()
-	if r.MayWrite(false) != ErrAnswered {
+	if r.MayWrite(free) != ErrAnswered {
 		t.Error("nothing is written for a request that has its answer")
 	}
 }
@@ -195,6 +201,25 @@
 	}
 }
 
+// The connection of an attempt is kept for its end where the server may have it and has said nothing.
+func TestParting(t *testing.T) {
+	at := func(stage Stage) *Effect { return &Effect{Kind: Read, stage: stage} }
+	for name, c := range map[string]struct{ got, want Parting }{
+		"coming up":       {at(Connecting).Parting(false, false), CloseAtOnce},
+		"written in part": {at(Writing).Parting(false, false), CloseAtOnce},
+		"written":         {at(Written).Parting(false, false), WatchForEnd},
+		"answered":        {at(Arrived).Parting(true, false), CloseAtOnce},
+		"streams":         {at(Arrived).Parting(true, true), CloseAtOnce},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %d, want %d", name, c.got, c.want)
+		}
+	}
+	if at(Over).LeavesBehind(false) || !at(GivenUp).LeavesBehind(false) || at(GivenUp).LeavesBehind(true) {
+		t.Error("what was lost while it may run leaves something behind")
+	}
+}
+
 func TestAllocates(t *testing.T) {
 	use := func() {
 		r := Record{ID: 1}
--- a/internal/decide/effects/settlement.go
+++ b/internal/decide/effects/settlement.go
@@ -16,6 +16,7 @@
 	working   int64 // until then servers may work on attempts that were given up and are not watched ...
 	watchedTo int64 // ... and on those that are
 	keepUntil int64 // until then watched connections are kept
+	shadowed  bool  // a release was sent while an attempt was out, which may have kept the state
 	lost      bool  // it was counted as lost
 }
 
@@ -129,6 +130,10 @@
 // Hurry ends the wait for confirmations: a read of the request waits for its release.
 func (s *Settlement) Hurry(now int64) { s.graceEnds = min(s.graceEnds, now) }
 
+// Began tells that a release is written; out: while an attempt of the request is out. A server may keep what such an attempt is taken to need, so
+// that another follows when it is over.
+func (s *Settlement) Began(out bool) { s.shadowed = s.shadowed || out }
+
 // Answered tells that a server has taken a release that was begun then.
 func (s *Settlement) Answered(begun int64) {
 	if s.covered = max(s.covered, begun); !s.Owed() {
@@ -157,8 +162,13 @@
 // ends is when the settlement is given up.
 func (s *Settlement) ends() int64 { return max(s.event, s.keepUntil-s.keepFor) + s.keepFor }
 
-// Next tells what to do, and where that is to wait, until when. may: a release may be sent now (Record.MayRelease).
-func (s *Settlement) Next(now int64, may bool) (action Action, at int64) {
+// Next tells what to do, and where that is to wait, until when. may: a release may be sent now (Record.MayRelease); out: an attempt of the
+// request is out.
+func (s *Settlement) Next(now int64, may, out bool) (action Action, at int64) {
+	if s.shadowed && !out {
+		s.shadowed, s.event = false, now
+		s.heldSince = min(s.heldSince, now)
+	}
 	switch {
 	case !s.wanted && s.watched == 0 && now >= s.working:
 		return Settled, 0
@@ -184,6 +194,8 @@
 func (s *Settlement) nextRepeat(now int64, may bool) (Action, int64) {
 	working := s.workedOn()
 	switch {
+	case s.shadowed && s.covered >= working:
+		return Wait, now + s.ReleaseTimeout()
 	case s.watched == 0 && s.covered >= working:
 		return Settled, 0
 	case s.covered >= working && now >= s.keepUntil:
--- a/internal/decide/serverconn/serverconn.go
+++ b/internal/decide/serverconn/serverconn.go
@@ -55,14 +55,14 @@
 }
 
 // Choose picks the server by which a release goes: one that has not been tried, rather with a connection, heard last; -1 if there
-// is none.
-func Choose(ways []Candidate) int {
+// is none. After a first round in vain what counts is who was heard last: connections that are kept may be dead.
+func Choose(ways []Candidate, round int) int {
 	best := -1
 	better := func(a, b Candidate) bool {
 		switch {
 		case a.Tried != b.Tried:
 			return !a.Tried
-		case a.Ready != b.Ready:
+		case a.Ready != b.Ready && (round == 0 || a.Heard == b.Heard):
 			return a.Ready
 		}
 		return a.Heard > b.Heard
--- a/internal/decide/serverconn/serverconn_test.go
+++ b/internal/decide/serverconn/serverconn_test.go
@@ -4,18 +4,21 @@
 
 func TestChoose(t *testing.T) {
 	for what, c := range map[string]struct {
-		ways []Candidate
-		want int
+		ways  []Candidate
+		round int
+		want  int
 	}{
-		"nobody":                   {nil, -1},
-		"all gone":                 {[]Candidate{{Gone: true, Ready: true, Heard: 9}}, -1},
-		"heard last":               {[]Candidate{{Heard: 1, Ready: true}, {Heard: 9, Ready: true}, {Heard: 5, Ready: true}}, 1},
-		"rather with a connection": {[]Candidate{{Heard: 9}, {Heard: 1, Ready: true}}, 1},
-		"not again where in vain":  {[]Candidate{{Heard: 9, Ready: true, Tried: true}, {Heard: 1}}, 1},
+		"nobody":                   {nil, 0, -1},
+		"all gone":                 {[]Candidate{{Gone: true, Ready: true, Heard: 9}}, 0, -1},
+		"heard last":               {[]Candidate{{Heard: 1, Ready: true}, {Heard: 9, Ready: true}, {Heard: 5, Ready: true}}, 0, 1},
+		"rather with a connection": {[]Candidate{{Heard: 9}, {Heard: 1, Ready: true}}, 0, 1},
+		"a kept one may be dead":   {[]Candidate{{Heard: 9}, {Heard: 1, Ready: true}}, 1, 0},
+		"heard at once, kept":      {[]Candidate{{Heard: 9}, {Heard: 9, Ready: true}}, 1, 1},
+		"not again where in vain":  {[]Candidate{{Heard: 9, Ready: true, Tried: true}, {Heard: 1}}, 0, 1},
 		"again if there is no other": {[]Candidate{{Heard: 3, Tried: true}, {Heard: 9, Tried: true},
-			{Heard: 99, Gone: true}}, 1},
+			{Heard: 99, Gone: true}}, 0, 1},
 	} {
-		if got := Choose(c.ways); got != c.want {
+		if got := Choose(c.ways, c.round); got != c.want {
 			t.Errorf("%s: %d, want %d", what, got, c.want)
 		}
 	}
--- a/internal/dispatch/exit.go
+++ b/internal/dispatch/exit.go
@@ -125,12 +125,15 @@
 	d.releaseHeld(now, req, "beside an attempt that may not have come")
 }
 
-// MayRelease tells whether a release may be sent for a request, which may be over by now.
-func (d *Dispatcher) MayRelease(id policy.RequestID) error {
-	if req := d.requests.Find(id); req != nil {
-		return req.MayRelease(req.stage())
+// MayRelease tells whether a release may be sent for a request, which may be over by now, and whether an attempt of it is on its way or at a server.
+func (d *Dispatcher) MayRelease(id policy.RequestID) (out bool, err error) {
+	req := d.requests.Find(id)
+	if req == nil {
+		return false, nil
 	}
-	return nil
+	_, out = req.Outstanding()
+	stage := req.stage()
+	return out && stage > effects.Planned, req.MayRelease(stage)
 }
 
 // stage is how far the attempt that is out has come.
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -113,9 +113,10 @@
 // writeAttempt writes the request as its client sent it; false: it must not be written, and the connection is closed.
 func (c *conn) writeAttempt(now loop.Nanos) bool {
 	req := c.request
-	s := c.exit.settlements[req.ID]
-	if err := req.MayWrite(s != nil && len(s.tries) > 0); err != nil {
-		c.exit.violated(req.ClientID, c.server, err)
+	if err := c.mayWrite(now); err != nil {
+		if err != effects.ErrTooLate {
+			c.exit.violated(req.ClientID, c.server, err)
+		}
 		c.dropAttempt()
 		return false
 	}
@@ -136,6 +137,13 @@
 	return true
 }
 
+// mayWrite tells whether the attempt that the connection carries may be written.
+func (c *conn) mayWrite(now loop.Nanos) error {
+	s := c.exit.settlements[c.request.ID]
+	return c.request.MayWrite(effects.WriteFacts{Now: now, Before: c.request.WriteBefore, Serving: c.server.health == policy.Serving,
+		Releasing: s != nil && len(s.tries) > 0})
+}
+
 // dropAttempt takes an attempt that is not written off its connection.
 func (c *conn) dropAttempt() {
 	c.abandon()
@@ -146,16 +154,18 @@
 
 // writeRelease writes the release that the connection carries.
 func (c *conn) writeRelease(now loop.Nanos) {
-	if err := c.exit.dispatcher.MayRelease(c.release.request); err != nil {
-		s := c.release
+	s := c.release
+	out, err := c.exit.dispatcher.MayRelease(s.request)
+	if err != nil {
 		c.exit.violated(s.name, c.server, err)
 		s.dropTry(c)
 		s.actSoon(now)
 		return
 	}
+	s.account.Began(out)
 	c.begin(now)
 	b := append(c.exit.scratch[:0], "DELETE /state/"...)
-	b = append(append(b, c.release.name...), " HTTP/1.1\r\nHost: "...)
+	b = append(append(b, s.name...), " HTTP/1.1\r\nHost: "...)
 	b = append(append(b, c.server.name...), "\r\n\r\n"...)
 	c.exit.scratch = b
 	c.conn.Write(b)
@@ -166,10 +176,6 @@
 func (c *conn) Opened(now loop.Nanos) {
 	c.ready = true
 	switch {
-	case c.request != nil && now >= c.request.WriteBefore: // it took too long to come up
-		req := c.request
-		c.dropAttempt()
-		c.exit.dispatcher.Finish(now, req, policy.NotSent, "", policy.NoLoad)
 	case c.request != nil:
 		if req := c.request; !c.writeAttempt(now) {
 			c.exit.dispatcher.Finish(now, req, policy.NotSent, "", policy.NoLoad)
@@ -333,7 +339,7 @@
 			c.exit.log.Info("attempt lost with its connection", "server", c.server.name, "ready", c.ready, "written", c.written, "begun", req.Streaming(),
 				"after", now-c.sentAt, "rested", c.sentAt-c.idleSince, "used", c.uses)
 		}
-		if c.effect.Stage() == effects.GivenUp {
+		if c.effect.LeavesBehind(req.Streaming()) {
 			c.leftBehind(now, req)
 		}
 		c.exit.dispatcher.Finish(now, req, outcome, "", c.load)
@@ -434,11 +440,15 @@
 	if req == nil {
 		return false
 	}
-	written, answered := c.effect.MayHaveArrived(), c.answered
+	written, parting := c.effect.MayHaveArrived(), c.effect.Parting(c.answered, req.Streaming())
 	c.abandon()
 	c.request = nil
 	srv, sent, wired := c.server, c.sentAt, c.ready
-	if s := c.settlementFor(req); s != nil && written && !answered {
+	var s *settlement
+	if parting == effects.WatchForEnd {
+		s = c.exit.settlement(req)
+	}
+	if s != nil {
 		c.watch(now, s)
 	} else {
 		c.conn.Close()
@@ -450,17 +460,9 @@
 	return written
 }
 
-// settlementFor gives the settlement for an attempt that may leave a state, or keep the one that it was to take; nil if it does neither.
-func (c *conn) settlementFor(req *dispatch.Request) *settlement {
-	if req.Streaming() || !c.effect.MayHaveArrived() {
-		return nil
-	}
-	return c.exit.settlement(req)
-}
-
 // leftBehind takes down that an attempt was lost with its connection: its server may work on it.
 func (c *conn) leftBehind(now loop.Nanos, req *dispatch.Request) {
-	if s := c.settlementFor(req); s != nil {
+	if s := c.exit.settlement(req); s != nil {
 		s.account.GivenUp(now, now+c.exit.longestWait, false)
 		s.actSoon(now)
 	}
--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -69,11 +69,11 @@
 	s.acting = true
 	defer func() { s.acting = false }()
 	x := s.exit
-	blocked := x.dispatcher.MayRelease(s.request)
+	out, blocked := x.dispatcher.MayRelease(s.request)
 	if s.account.Lost(now) {
 		x.releaseLost(s.name, "no server has taken it in time", s.tried, s.account.HeldFor(now))
 	}
-	action, at := s.account.Next(now, blocked == nil)
+	action, at := s.account.Next(now, blocked == nil, out)
 	switch action {
 	case effects.Send:
 		if now >= s.retryAt {
@@ -134,7 +134,7 @@
 			x.ways = append(x.ways, serverconn.Candidate{Heard: srv.heardAt, Ready: srv.restingConn(now) != nil,
 				Tried: slices.Contains(s.tried, srv.id), Gone: srv.health == policy.Gone})
 		}
-		i := serverconn.Choose(x.ways)
+		i := serverconn.Choose(x.ways, s.round)
 		if i < 0 {
 			return nil, false
 		}
