TestFaultSoak and TestSoakSchedule: the soak in the suite, two seeds of five seconds

The soak's draw has a function of its own, so that a test holds what it promises: the same seed, the same schedule, half of each role's servers sound at any time. DOCKSAIL_SOAK_SEEDS plays more seeds.

--- /dev/null
+++ b/cmd/docksail/soak_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"docksail/internal/lab/soak"
+)
+
+// soakSeeds names, in the environment, how many seeds TestFaultSoak plays; a few seconds each.
+const soakSeeds = "DOCKSAIL_SOAK_SEEDS"
+
+// Real dispatchers before stand-in servers under random faults keep the rules. A failing seed is printed with its schedule, and plays again with
+// docksail lab soak --seed.
+func TestFaultSoak(t *testing.T) {
+	seeds := 2
+	if text := os.Getenv(soakSeeds); text != "" {
+		var err error
+		if seeds, err = strconv.Atoi(text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := range seeds {
+		t.Run(fmt.Sprint(n+1), func(t *testing.T) {
+			s := soak.Soak{Seed: uint64(n + 1), Length: 5 * time.Second, Most: 14, Program: program, Folder: t.TempDir()}
+			v, err := s.Run()
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(v.Report())
+			if err := v.Sound(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// The same seed draws the same schedule; of each role's servers half at the least are sound at any time.
+func TestSoakSchedule(t *testing.T) {
+	for seed := range uint64(20) {
+		first, again := soak.Draw(seed, 20*time.Second), soak.Draw(seed, 20*time.Second)
+		if fmt.Sprint(first) != fmt.Sprint(again) || len(first.Schedule) == 0 {
+			t.Fatalf("seed %d: %d faults, then %d", seed, len(first.Schedule), len(again.Schedule))
+		}
+		for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+			faulty := map[byte]int{}
+			for _, f := range first.Schedule {
+				if f.At <= at && at < f.At+f.For {
+					faulty[f.Target[0]]++
+				}
+			}
+			if 2*faulty['r'] > first.Prefill || 2*faulty['w'] > first.Decode {
+				t.Fatalf("seed %d at %v: %d of %d prefill and %d of %d decode servers have a fault", seed, at, faulty['r'], first.Prefill, faulty['w'], first.Decode)
+			}
+		}
+	}
+}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -96,6 +96,25 @@
 	return s
 }
 
+// Drawn is what a seed draws of a run, for tests and for a look.
+type Drawn struct {
+	Prefill, Decode, Dispatchers int
+	Schedule                     []Fault
+}
+
+// Draw draws what a soak of a seed and a length plays.
+func Draw(seed uint64, length time.Duration) Drawn {
+	shape, faults := draw(seed, 0, length)
+	return Drawn{shape.prefill, shape.decode, shape.dispatchers, faults}
+}
+
+// draw draws the fleet and the schedule of a seed.
+func draw(seed uint64, most int, length time.Duration) (shape, []Fault) {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	s := drawShape(rng, most)
+	return s, schedule(rng, s.prefill, s.decode, s.dispatchers, length, s.every)
+}
+
 // settings is the settings object of the run's dispatchers.
 func (s shape) settings() string {
 	class := func(name string, window time.Duration) string {
@@ -142,11 +161,9 @@
 
 // Run runs the soak. An error is one of the run itself, not of the rules.
 func (s *Soak) Run() (v Verdict, err error) {
-	rng := rand.New(rand.NewPCG(s.Seed, 1))
-	shape := drawShape(rng, s.Most)
-	v = Verdict{Seed: s.Seed, Processes: shape.prefill + shape.decode + shape.dispatchers,
+	shape, faults := draw(s.Seed, s.Most, s.Length)
+	v = Verdict{Seed: s.Seed, Processes: shape.prefill + shape.decode + shape.dispatchers, Schedule: faults,
 		Settings: fmt.Sprintf("%d prefill, %d decode, %d dispatchers, %d sockets, release %v, cancel %v", shape.prefill, shape.decode, shape.dispatchers, shape.sockets, shape.release, shape.cancel)}
-	v.Schedule = schedule(rng, shape.prefill, shape.decode, shape.dispatchers, s.Length, shape.every)
 	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
 		return v, err
 	}
