A read that waits for its release is told of in a turn of its own; soak: connections reordered

Found by reading: Exit.Send had the settlement act at once, which could settle, send the read and tell the dispatcher of its connection (Reassigned) before Send had returned the settlement as the attempt's holder; the dispatcher would then have kept the wrong one. It needs a repeated release on a connection as the longest deadline ends, and was not seen. The settlement acts in the next turn now.

--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -222,7 +222,7 @@
 	if s := x.settlements[req.ID]; s != nil && req.Prefill && s.underWay() {
 		s.next = req
 		s.account.Hurry(now)
-		s.act(now)
+		s.actSoon(now) // not at once: the dispatcher does not know yet that the attempt is held here
 		return s
 	}
 	if c := x.send(now, req); c != nil {
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -34,6 +34,7 @@
 	oldBack        // as heldBack, for the connections that there are
 	closesHeld     // ends of dispatchers' connections do not reach the server
 	delayed        // everything comes later
+	scattered      // what goes by several connections comes in another order
 	cutBoth        // all connections are reset
 	cutServer      // connections are reset at the server's end; the dispatcher hears nothing but the end
 	cutDispatcher  // connections are reset at the dispatcher's end only
@@ -47,7 +48,7 @@
 )
 
 var faultNames = [...]string{"hangs", "is killed and starts again", "gets nothing", "is not heard", "is cut off", "gets nothing on old connections", "is not heard on old connections",
-	"does not hear of closes", "is slow to reach", "has its connections cut at both ends", "has its connections cut at its end", "has its connections cut at the dispatchers' end",
+	"does not hear of closes", "is slow to reach", "is reached in another order", "has its connections cut at both ends", "has its connections cut at its end", "has its connections cut at the dispatchers' end",
 	"refuses connections", "is held up", "is killed and starts again", "ends and starts again", "reads its configuration again", "is silent"}
 
 // String names a kind of fault.
@@ -211,6 +212,10 @@
 		p.Delay(fault.For * longestDelay / longestFault)
 		time.Sleep(fault.For)
 		p.Delay(0)
+	case scattered:
+		p.Scatter(fault.For * longestDelay / longestFault)
+		time.Sleep(fault.For)
+		p.Scatter(0)
 	case cutBoth:
 		p.Cut(Forward, true)
 	case cutServer:
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -31,6 +31,7 @@
 	closes  bool    // ends of dispatchers are held back
 	oneWay  bool    // the fault is for connections that are there, not for new ones
 	delay   time.Duration
+	scatter time.Duration // connections are slow by up to that, each by its own
 	conns   map[*proxied]bool
 	stopped bool
 }
@@ -86,6 +87,9 @@
 // Delay has each piece pass so much later.
 func (p *Proxy) Delay(span time.Duration) { p.set(func() { p.delay = span }) }
 
+// Scatter has each connection pass everything later by a time of its own, up to that: what goes by several connections comes in another order.
+func (p *Proxy) Scatter(most time.Duration) { p.set(func() { p.scatter = most }) }
+
 // Cut resets the connections that there are, at the server's end and, if both, at the dispatchers' end too; else those hear nothing.
 func (p *Proxy) Cut(way Direction, both bool) {
 	p.mu.Lock()
@@ -208,6 +212,9 @@
 	to.CloseWrite()
 }
 
+// scatterSteps are the different delays of scattered connections: consecutive ones differ most.
+const scatterSteps = 7
+
 // pass waits until a piece, or the end, may pass; false: the proxy has stopped.
 func (c *proxied) pass(way Direction, end bool, at time.Time) bool {
 	p := c.proxy
@@ -215,7 +222,7 @@
 	for !p.stopped && (p.held[way] && (!p.oneWay || c.old) || end && way == Forward && p.closes) {
 		p.change.Wait()
 	}
-	stopped, delay := p.stopped, p.delay
+	stopped, delay := p.stopped, p.delay+p.scatter*time.Duration(c.key.port%scatterSteps)/scatterSteps
 	p.mu.Unlock()
 	if rest := time.Until(at.Add(delay)); delay > 0 && rest > 0 {
 		time.Sleep(rest)
