exit/platform and the tests of held state: names, one setup for reads that are under way

No behaviour changes: ways are candidates, prefillBody (also a stream's first bytes) is firstBytes; the package comment names where decisions stand. go test of node and exit passes.

--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -33,18 +33,18 @@
 	timer     loop.Timer
 	onTimer   func(loop.Nanos)
 
-	request     *dispatch.Request
-	release     *settlement    // whose release it carries
-	settles     *settlement    // the one that waits for the end of an attempt given up on it
-	effect      effects.Effect // what it carries, or carried last
-	sentAt      loop.Nanos     // what it carries was written then
-	written     bool           // to its last byte
-	answered    bool           // something came back
-	headSeen    bool           // its answer's head has come
-	stream      bool           // which is that of a stream
-	events      int            // pieces of it
-	prefillBody []byte         // what has come of a stream's first event
-	load        policy.Load
+	request    *dispatch.Request
+	release    *settlement    // whose release it carries
+	settles    *settlement    // the one that waits for the end of an attempt given up on it
+	effect     effects.Effect // what it carries, or carried last
+	sentAt     loop.Nanos     // what it carries was written then
+	written    bool           // to its last byte
+	answered   bool           // something came back
+	headSeen   bool           // its answer's head has come
+	stream     bool           // which is that of a stream
+	events     int            // pieces of it
+	firstBytes []byte         // what has come of a read's answer, or of the first event of a stream
+	load       policy.Load
 }
 
 // restedFor gives the place of a time at rest in the counts.
@@ -107,7 +107,7 @@
 	}
 	c.answered = false
 	c.advance(effects.Writing)
-	c.sentAt, c.written, c.headSeen, c.stream, c.prefillBody, c.load, c.events = now, false, false, false, c.prefillBody[:0], policy.NoLoad, 0
+	c.sentAt, c.written, c.headSeen, c.stream, c.firstBytes, c.load, c.events = now, false, false, false, c.firstBytes[:0], policy.NoLoad, 0
 }
 
 // writeAttempt writes the request as its client sent it; false: it must not be written, and the connection is closed.
@@ -243,8 +243,8 @@
 			c.start()
 		case piece == h1.Data && c.stream:
 			c.event(now, data)
-		case piece == h1.Data && c.request != nil && c.request.Prefill && len(c.prefillBody)+len(data) <= foundMost:
-			c.prefillBody = append(c.prefillBody, data...)
+		case piece == h1.Data && c.request != nil && c.request.Prefill && len(c.firstBytes)+len(data) <= foundMost:
+			c.firstBytes = append(c.firstBytes, data...)
 		case piece == h1.Whole:
 			c.answerComplete(now, n == len(p))
 			return len(p)
@@ -291,18 +291,18 @@
 	}
 	c.events++
 	if !c.request.Streaming() {
-		c.prefillBody = append(c.prefillBody, data...)
-		if !bytes.Contains(c.prefillBody, []byte("\n\n")) && !bytes.Contains(c.prefillBody, []byte("\r\n\r\n")) {
-			if len(c.prefillBody) > chunkMost {
+		c.firstBytes = append(c.firstBytes, data...)
+		if !bytes.Contains(c.firstBytes, []byte("\n\n")) && !bytes.Contains(c.firstBytes, []byte("\r\n\r\n")) {
+			if len(c.firstBytes) > chunkMost {
 				c.invalidAnswer(now, h1.ErrTooLarge)
 			}
 			return
 		}
-		if !bytes.Contains(c.prefillBody, []byte("data:")) {
+		if !bytes.Contains(c.firstBytes, []byte("data:")) {
 			c.invalidAnswer(now, h1.ErrBad)
 			return
 		}
-		data = c.prefillBody
+		data = c.firstBytes
 	}
 	if c.exit.dispatcher.Tokens(now, c.request, data, len(data)) && !c.gone {
 		c.conn.Pause(true)
@@ -396,7 +396,7 @@
 		Cached *int64 `json:"cached_tokens"`
 	}
 	g := req.PolicyRequest()
-	if json.Unmarshal(c.prefillBody, &told) != nil || told.Cached == nil || *told.Cached < 0 || *told.Cached > g.Prompt {
+	if json.Unmarshal(c.firstBytes, &told) != nil || told.Cached == nil || *told.Cached < 0 || *told.Cached > g.Prompt {
 		return
 	}
 	c.exit.Counts.PrefixCache.read(g.Prompt, g.Shared, req.ExpectedCached, *told.Cached)
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -1,6 +1,6 @@
 // Package platform is the way to model servers that speak the platform's protocol over HTTP/1.1, and to the platform's
-// discovery. What becomes of attempts is told to the dispatcher; what is decided about connections stands in
-// decide/pool.
+// discovery. What becomes of attempts is told to the dispatcher; what is decided stands in decide/effects (attempts, releases) and
+// decide/serverconn (connections).
 package platform
 
 import (
@@ -94,7 +94,7 @@
 	discovery   discovery
 	rng         *rand.Rand
 	scratch     []byte
-	ways        []serverconn.Candidate
+	candidates  []serverconn.Candidate
 	number      uint64
 }
 
--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -129,17 +129,17 @@
 func (s *settlement) chooseServer(now loop.Nanos) (srv *server, again bool) {
 	x := s.exit
 	for {
-		x.ways = x.ways[:0]
+		x.candidates = x.candidates[:0]
 		for _, srv := range x.servers {
-			x.ways = append(x.ways, serverconn.Candidate{Heard: srv.heardAt, Ready: srv.restingConn(now) != nil,
+			x.candidates = append(x.candidates, serverconn.Candidate{Heard: srv.heardAt, Ready: srv.restingConn(now) != nil,
 				Tried: slices.Contains(s.tried, srv.id), Gone: srv.health == policy.Gone})
 		}
-		i := serverconn.Choose(x.ways, s.round)
+		i := serverconn.Choose(x.candidates, s.round)
 		if i < 0 {
 			return nil, false
 		}
-		if srv := x.servers[i]; !x.ways[i].Ready || srv.usableConn(now) != nil {
-			return srv, x.ways[i].Tried
+		if srv := x.servers[i]; !x.candidates[i].Ready || srv.usableConn(now) != nil {
+			return srv, x.candidates[i].Tried
 		}
 	}
 }
--- a/internal/node/heldstate_test.go
+++ b/internal/node/heldstate_test.go
@@ -31,6 +31,20 @@
 	return at
 }
 
+// inRead starts a dispatcher before a prefill server that is scripted and a decode server that answers, with a request whose read has come to the
+// first.
+func (h *harness) inRead(change ...string) (reader, writer *scriptedServer, client, reading *scriptedConn) {
+	h.t.Helper()
+	reader, writer = h.server("r1", "prefill"), h.server("w1", "decode")
+	writer.reply = decodeAnswer
+	h.startInService()
+	client = h.client()
+	client.send(request(jobName(1), change...))
+	reading = reader.accept()
+	reading.request()
+	return reader, writer, client, reading
+}
+
 // wantReleaseBy wants a release of a request, at any of some servers, after a time and no later than another.
 func (h *harness) wantReleaseBy(name string, after, by int64, servers ...*scriptedServer) {
 	h.t.Helper()
@@ -82,13 +96,7 @@
 // A read that was given up while its server was cut off is released once more when that server shows that it is over.
 func TestReleaseAfterTheReadIsOver(t *testing.T) {
 	h := newHarness(t, simulated)
-	reader, writer := h.server("r1", "prefill"), h.server("w1", "decode")
-	writer.reply = decodeAnswer
-	h.startInService()
-	client := h.client()
-	client.send(request(jobName(1)))
-	reading := reader.accept()
-	reading.request()
+	reader, writer, client, reading := h.inRead()
 	reader.cut(true)
 	client.close()
 	h.until("a first release", func() bool { return len(writer.requests) > 0 })
@@ -103,13 +111,7 @@
 // While a server may still work on a read whose connection broke, its state is released from time to time.
 func TestReleaseRepeatsAfterABreak(t *testing.T) {
 	h := newHarness(t, simulated, append(notRepeated, `"max_attempts":6`, `"max_attempts":1`)...)
-	reader, writer := h.server("r1", "prefill"), h.server("w1", "decode")
-	writer.reply = decodeAnswer
-	h.startInService()
-	client := h.client()
-	client.send(request(jobName(1)))
-	reading := reader.accept()
-	reading.request()
+	_, writer, _, reading := h.inRead()
 	reading.close()
 	broke := h.now()
 	for at := broke; at < broke+int64(3*time.Second); at += int64(heldMost) {
@@ -121,12 +123,7 @@
 // deadline of the settings.
 func TestReleaseRepeatsAfterTimeout(t *testing.T) {
 	h := newHarness(t, simulated)
-	reader, writer := h.server("r1", "prefill"), h.server("w1", "decode")
-	writer.reply = decodeAnswer
-	h.startInService()
-	client := h.client()
-	client.send(request(jobName(1), "X-Remaining: 4.800", "X-Remaining: 0.800"))
-	reader.accept().request()
+	reader, writer, _, _ := h.inRead("X-Remaining: 4.800", "X-Remaining: 0.800")
 	reader.cut(true)
 	h.until("the read is given up", func() bool { return h.node.dispatcher.Counts.TimedOut > 0 })
 	given := h.now()
