A release passes over servers to which there is no connection to be had

Found by reading: settlement.sendRound ended its round with the first server to which no connection could be made (no descriptor, no port), though another might have had one that rests; after the first round kept connections do not go first any more, so this could have cost a round each time.

--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -91,40 +91,49 @@
 	}
 }
 
-// sendRound sends the release by some servers that have not been asked yet.
+// sendRound sends the release by some servers that have not been asked yet, and passes over those to which there is no connection to be had.
 func (s *settlement) sendRound(now loop.Nanos) {
-	x := s.exit
 	s.retryAt = now + s.account.RoundTimeout(s.round)
-	for range effects.Parallel(s.round) {
+	for sent, anew := 0, false; sent < effects.Parallel(s.round); {
 		srv, again := s.chooseServer(now)
 		if srv == nil {
 			break
 		}
-		if again { // all have been asked: the next round begins with any
+		if again { // all have been asked: the next round begins with any, this one only if no server has it
 			s.tried = s.tried[:0]
-			if len(s.tries) > 0 {
+			if anew || len(s.tries) > 0 {
 				break
 			}
+			anew = true
 		}
 		s.tried = append(s.tried, srv.id)
-		x.Counts.ReleaseTries++
-		c := x.connTo(now, srv, x.maxConns, true)
-		if c == nil {
-			break
-		}
-		if len(s.tries) >= effects.MostTries {
-			s.dropTry(s.tries[0])
-		}
-		c.release = s
-		s.tries = append(s.tries, c)
-		c.carry(effects.Release)
-		if c.ready {
-			c.writeRelease(now)
+		if s.sendBy(now, srv) {
+			sent++
 		}
 	}
 	s.round++
 }
 
+// sendBy sends the release by a server; false: there is no connection to be had.
+func (s *settlement) sendBy(now loop.Nanos, srv *server) bool {
+	x := s.exit
+	c := x.connTo(now, srv, x.maxConns, true)
+	if c == nil {
+		return false
+	}
+	x.Counts.ReleaseTries++
+	if len(s.tries) >= effects.MostTries {
+		s.dropTry(s.tries[0])
+	}
+	c.release = s
+	s.tries = append(s.tries, c)
+	c.carry(effects.Release)
+	if c.ready {
+		c.writeRelease(now)
+	}
+	return true
+}
+
 // chooseServer gives the server by which a release goes next; nil if there is none. again: it has been asked already.
 func (s *settlement) chooseServer(now loop.Nanos) (srv *server, again bool) {
 	x := s.exit
