--- /dev/null
+++ b/internal/exit/platform/settlement_test.go
@@ -0,0 +1,46 @@
+package platform
+
+import (
+	"log/slog"
+	"net"
+	"net/netip"
+	"testing"
+
+	"docksail/internal/dispatch"
+	"docksail/internal/loop"
+	"docksail/internal/platformconfig"
+	"docksail/policy"
+)
+
+// A release does not wait for another round where a server cannot even be dialed: the next one is asked.
+func TestReleasePassesOverServerThatCannotBeDialed(t *testing.T) {
+	l, err := loop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	sound, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer sound.Close()
+	log := slog.New(slog.DiscardHandler)
+	d, err := dispatch.Direct(l, log, &scriptedModule{}, []string{"a"}, []policy.Class{{Target: 1e9, Timeout: 9e9}}, nil, 10, 1000, 0, 0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x := New(l, d, log, &platformconfig.Config{Zones: []string{"z"}, Kinds: []string{"decode"}, Roles: []policy.Role{policy.Decode}, ReleaseTime: 1e9}, 10, netip.AddrPort{})
+	d.Attach(noClients{}, x)
+	x.Known(0, List{Full: true, Servers: []Server{
+		{ID: "w1", Addr: "[fe80::1]:1", Zone: "z", Kind: "decode", State: "Ready"}, // refused within the call: no zone, or no such family
+		{ID: "w2", Addr: sound.Addr().String(), Zone: "z", Kind: "decode", State: "Ready"},
+	}})
+	req := &dispatch.Request{ClientID: []byte("0000000000000001")}
+	req.ID = 7
+	x.Release(0, req, 0, 0, 0)
+	s := x.settlements[req.ID]
+	s.act(0)
+	if len(s.tries) != 1 || s.tries[0].server.name != "w2" || s.round != 1 {
+		t.Errorf("%d releases under way after %d rounds, want one by w2 after one", len(s.tries), s.round)
+	}
+}
