--- a/internal/decide/effects/settlement.go
+++ b/internal/decide/effects/settlement.go
@@ -113,6 +113,12 @@
 	}
 }
 
+// ShowsEnd tells whether the loss of a watched connection shows that the server knows of the end of its attempt, which was given up then: an orderly end does;
+// a reset does if it follows at once, as servers reset what they cancel. A later one may come from whatever stands between.
+func (s *Settlement) ShowsEnd(now, givenUp int64, orderly bool) bool {
+	return orderly || now-givenUp <= s.ReleaseTimeout()
+}
+
 // Unwatched tells that a watched connection is gone without a sign.
 func (s *Settlement) Unwatched() {
 	s.watched--
--- a/internal/decide/effects/settlement_test.go
+++ b/internal/decide/effects/settlement_test.go
@@ -192,3 +192,17 @@
 		t.Error("nothing is left")
 	}
 }
+
+// A reset shows a server's end only where it follows at once.
+func TestShowsEnd(t *testing.T) {
+	s := NewSettlement(testRelease, testIdle)
+	for name, c := range map[string]struct {
+		after   int64
+		orderly bool
+		want    bool
+	}{"orderly": {9000, true, true}, "reset at once": {100, false, true}, "reset later": {101, false, false}} {
+		if got := s.ShowsEnd(500+c.after, 500, c.orderly); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -35,7 +35,8 @@
 
 	request    *dispatch.Request
 	release    *settlement    // whose release it carries
-	settles    *settlement    // the one that waits for the end of an attempt given up on it
+	settles    *settlement    // the one that waits for the end of an attempt given up on it ...
+	givenUpAt  loop.Nanos     // ... then
 	effect     effects.Effect // what it carries, or carried last
 	sentAt     loop.Nanos     // what it carries was written then
 	written    bool           // to its last byte
@@ -423,7 +424,7 @@
 		return
 	}
 	if c.settles != nil {
-		c.unwatch(now, "the connection broke")
+		c.watchLost(now)
 		return
 	}
 	if !c.ready {
--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -288,7 +288,7 @@
 // watch keeps the connection of an attempt that is given up: its sending is ended, which is how the server learns of it, and the server's
 // own end tells that it has.
 func (c *conn) watch(now loop.Nanos, s *settlement) {
-	c.settles = s
+	c.settles, c.givenUpAt = s, now
 	c.exit.loop.Cancel(&c.timer)
 	c.conn.Pause(false)
 	c.conn.EndOutput()
@@ -309,6 +309,15 @@
 	s.actSoon(now)
 }
 
+// watchLost is when a watched connection broke.
+func (c *conn) watchLost(now loop.Nanos) {
+	if c.settles.account.ShowsEnd(now, c.givenUpAt, false) {
+		c.confirm(now)
+		return
+	}
+	c.unwatch(now, "the connection broke")
+}
+
 // confirm takes down that the server has shown the end of an attempt that was given up.
 func (c *conn) confirm(now loop.Nanos) {
 	s := c.settles
