Held state: an owed release waits for the next read no longer than the clock allows

A send that has not arrived does not stop the clock. Cause: Record.MayRelease forbade a release while a read was out, whether or not it was known to have come to its server; Settlement waited without an end.

Change: MayRelease gives a Permit: Free, Reluctantly (a read is out), Forbidden (the next attempt needs the held state). If the read had just ended at its server, its state may go with it; the decode server then says so and the prompt is read anew.

--- a/internal/decide/effects/record.go
+++ b/internal/decide/effects/record.go
@@ -12,7 +12,7 @@
 	ErrOut      = errors.New("an attempt of the request is out already")
 	ErrNotOut   = errors.New("no attempt of that number is out")
 	ErrNoState  = errors.New("no state is held that could be released")
-	ErrNeeded   = errors.New("a release now would take a state that an attempt needs")
+	ErrNeeded   = errors.New("a release now would take a state that the next attempt needs")
 	ErrCrossing = errors.New("a read may not be sent while a release of the request is under way")
 	ErrDraining = errors.New("nothing new may be sent to a server that drains or is gone")
 )
@@ -81,7 +81,7 @@
 	Now       int64
 	Before    int64 // it may begin until then
 	Serving   bool  // its server is listed as one that takes requests
-	Releasing bool  // a release of the request is under way
+	Releasing bool  // a release of the request is under way that was begun before the read
 }
 
 // MayWrite tells whether the bytes of the attempt that is out may be written now, as its connection has come up or what it waited for is over.
@@ -182,14 +182,26 @@
 	return nil
 }
 
-// MayRelease tells whether a release may be sent now without harm: it would take a state that the next attempt needs, or that of a read
-// that is under way. stage is that of the attempt that is out.
-func (r *Record) MayRelease(stage Stage) error {
+// Permit tells how freely a release may be sent for a request.
+type Permit uint8
+
+const (
+	Free Permit = iota
+	// Reluctantly: a read of the request is on its way or at its server. A release might take its state, in the moment between its end and its
+	// answer; but as long as it is not known to have arrived, the clock of what else is held runs.
+	Reluctantly
+	Forbidden // the next attempt needs the state
+)
+
+// MayRelease tells how freely a release may be sent now. stage is that of the attempt that is out.
+func (r *Record) MayRelease(stage Stage) Permit {
 	switch {
-	case r.out && r.kind == Read && stage > Planned, r.state == held:
-		return ErrNeeded
+	case r.state == held:
+		return Forbidden
+	case r.out && r.kind == Read && stage > Planned:
+		return Reluctantly
 	}
-	return nil
+	return Free
 }
 
 // Done tells that nothing is owed, out or held: the request's place may be used again.
--- a/internal/decide/effects/settlement.go
+++ b/internal/decide/effects/settlement.go
@@ -168,9 +168,8 @@
 // ends is when the settlement is given up.
 func (s *Settlement) ends() int64 { return max(s.event, s.keepUntil-s.keepFor) + s.keepFor }
 
-// Next tells what to do, and where that is to wait, until when. may: a release may be sent now (Record.MayRelease); out: an attempt of the
-// request is out.
-func (s *Settlement) Next(now int64, may, out bool) (action Action, at int64) {
+// Next tells what to do, and where that is to wait, until when. permit is how freely a release may be sent; out: an attempt of the request is out.
+func (s *Settlement) Next(now int64, permit Permit, out bool) (action Action, at int64) {
 	if s.shadowed && !out {
 		s.shadowed, s.event = false, now
 		s.heldSince = min(s.heldSince, now)
@@ -186,18 +185,25 @@
 		return Wait, s.keepUntil
 	case s.Owed() && now >= s.ends():
 		return Expired, 0
-	case s.Owed() && !may:
+	case s.Owed() && permit == Forbidden:
 		return Wait, now + s.ReleaseTimeout()
+	case s.Owed() && permit == Reluctantly && now < s.urgentAt():
+		return Wait, min(now+s.ReleaseTimeout(), s.urgentAt())
 	case s.Owed() && s.watched > 0 && now < s.graceEnds:
 		return Wait, s.graceEnds
 	case s.Owed():
 		return Send, 0
 	}
-	return s.nextRepeat(now, may)
+	return s.nextRepeat(now, permit)
+}
+
+// urgentAt is when an owed release goes also beside a read that may be on its way.
+func (s *Settlement) urgentAt() int64 {
+	return s.event + int64(earlyReleaseShare*float64(s.releaseTime))
 }
 
 // nextRepeat is Next once a server has taken the release.
-func (s *Settlement) nextRepeat(now int64, may bool) (Action, int64) {
+func (s *Settlement) nextRepeat(now int64, permit Permit) (Action, int64) {
 	working := s.workedOn()
 	switch {
 	case s.shadowed && s.covered >= working:
@@ -213,7 +219,7 @@
 	switch {
 	case now < due:
 		return Wait, due
-	case !may:
+	case permit == Forbidden:
 		return Wait, now + s.ReleaseTimeout()
 	}
 	return Send, 0
--- a/internal/decide/effects/settlement_test.go
+++ b/internal/decide/effects/settlement_test.go
@@ -56,7 +56,7 @@
 			if answerAt != never || !s.Wanted() {
 				continue
 			}
-			switch action, at := s.Next(now, true, false); action {
+			switch action, at := s.Next(now, Free, false); action {
 			case Send:
 				begun = append(begun, now)
 				answerAt, answerOf = now+latency, now
@@ -94,7 +94,7 @@
 		if s.Lost(now) {
 			lost++
 		}
-		if action, _ := s.Next(now, true, false); action == Expired {
+		if action, _ := s.Next(now, Free, false); action == Expired {
 			if lost != 1 || now < testIdle {
 				t.Errorf("lost %d times, given up at %d", lost, now)
 			}
@@ -110,23 +110,23 @@
 	s := NewSettlement(testRelease, testIdle)
 	s.GivenUp(0, 4000, true)
 	s.Want(0, 0)
-	if action, at := s.Next(0, true, false); action != Wait || at != s.ReleaseTimeout() {
+	if action, at := s.Next(0, Free, false); action != Wait || at != s.ReleaseTimeout() {
 		t.Errorf("%d until %d, want a wait of %d", action, at, s.ReleaseTimeout())
 	}
-	if action, _ := s.Next(s.ReleaseTimeout(), true, false); action != Send {
+	if action, _ := s.Next(s.ReleaseTimeout(), Free, false); action != Send {
 		t.Error("the end is not shown in time: it goes all the same")
 	}
 	s.Hurry(5)
-	if action, _ := s.Next(5, true, false); action != Send {
+	if action, _ := s.Next(5, Free, false); action != Send {
 		t.Error("a read waits for it")
 	}
 	s.Confirmed(7)
 	s.Answered(5)
-	if action, _ := s.Next(8, true, false); action != Send || !s.Owed() {
+	if action, _ := s.Next(8, Free, false); action != Send || !s.Owed() {
 		t.Error("the release passed before the end")
 	}
 	s.Answered(8)
-	if action, _ := s.Next(9, true, false); action != Settled {
+	if action, _ := s.Next(9, Free, false); action != Settled {
 		t.Error("nothing is left")
 	}
 }
@@ -135,10 +135,10 @@
 func TestSettlementBlocked(t *testing.T) {
 	s := NewSettlement(testRelease, testIdle)
 	s.Want(0, 0)
-	if action, at := s.Next(0, false, false); action != Wait || at <= 0 {
+	if action, at := s.Next(0, Forbidden, false); action != Wait || at <= 0 {
 		t.Errorf("%d until %d, want a wait", action, at)
 	}
-	if action, _ := s.Next(300, true, false); action != Send {
+	if action, _ := s.Next(300, Free, false); action != Send {
 		t.Error("it may be sent now")
 	}
 	if held := s.HeldFor(300); held != 300 {
@@ -146,19 +146,43 @@
 	}
 }
 
+// Beside a read that may be on its way an owed release waits, but not for longer than the clock of what is held allows; one that is repeated goes when it
+// is due.
+func TestSettlementBesideARead(t *testing.T) {
+	s := NewSettlement(testRelease, testIdle)
+	s.GivenUp(0, 6000, false)
+	s.Want(0, 0)
+	if action, at := s.Next(0, Reluctantly, true); action != Wait || at != 100 {
+		t.Errorf("%d until %d, want a wait of 100", action, at)
+	}
+	if action, at := s.Next(580, Reluctantly, true); action != Wait || at != 600 {
+		t.Errorf("%d until %d, want a wait until 600", action, at)
+	}
+	if action, _ := s.Next(600, Reluctantly, true); action != Send {
+		t.Error("the clock runs: it has to go")
+	}
+	s.Answered(600)
+	if action, at := s.Next(601, Reluctantly, true); action != Wait || at != 1400 {
+		t.Errorf("%d until %d, want a wait until 1400", action, at)
+	}
+	if action, _ := s.Next(1400, Reluctantly, true); action != Send {
+		t.Error("a repeat is due")
+	}
+}
+
 // What an attempt may keep is watched also where nothing is to be released yet; it ends by itself.
 func TestSettlementUnwanted(t *testing.T) {
 	s := NewSettlement(testRelease, testIdle)
 	s.GivenUp(0, 3000, false)
-	if action, at := s.Next(0, true, false); action != Wait || at != 3000 {
+	if action, at := s.Next(0, Free, false); action != Wait || at != 3000 {
 		t.Errorf("%d until %d, want a wait until 3000", action, at)
 	}
 	s.Want(100, 0)
-	if action, _ := s.Next(100, true, false); action != Send {
+	if action, _ := s.Next(100, Free, false); action != Send {
 		t.Error("a release is wanted")
 	}
 	s.Answered(100)
-	if action, at := s.Next(101, true, false); action != Wait || at != 900 {
+	if action, at := s.Next(101, Free, false); action != Wait || at != 900 {
 		t.Errorf("%d until %d: the server may work on it until 3000", action, at)
 	}
 	if s.RoundTimeout(0) != 100 || s.RoundTimeout(99) != 800 {
@@ -173,22 +197,22 @@
 func TestSettlementBesideAnAttempt(t *testing.T) {
 	s := NewSettlement(testRelease, testIdle)
 	s.Want(0, 0)
-	if action, _ := s.Next(0, true, true); action != Send {
+	if action, _ := s.Next(0, Free, true); action != Send {
 		t.Error("it may be sent beside the attempt")
 	}
 	s.Began(true)
 	s.Answered(0)
 	for now := int64(10); now < 5000; now += 500 {
-		if action, at := s.Next(now, true, true); action != Wait || at <= now || at > now+testRelease {
+		if action, at := s.Next(now, Free, true); action != Wait || at <= now || at > now+testRelease {
 			t.Errorf("%d until %d, want a wait for the attempt's end", action, at)
 		}
 	}
-	if action, _ := s.Next(5000, true, false); action != Send {
+	if action, _ := s.Next(5000, Free, false); action != Send {
 		t.Error("the attempt is over: the state that it may have kept is to be released")
 	}
 	s.Began(false)
 	s.Answered(5000)
-	if action, _ := s.Next(5001, true, false); action != Settled {
+	if action, _ := s.Next(5001, Free, false); action != Settled {
 		t.Error("nothing is left")
 	}
 }
--- a/internal/dispatch/exit.go
+++ b/internal/dispatch/exit.go
@@ -125,15 +125,15 @@
 	d.releaseHeld(now, req, "beside an attempt that may not have come")
 }
 
-// MayRelease tells whether a release may be sent for a request, which may be over by now, and whether an attempt of it is on its way or at a server.
-func (d *Dispatcher) MayRelease(id policy.RequestID) (out bool, err error) {
+// MayRelease tells how freely a release may be sent for a request, which may be over by now, and whether an attempt of it is on its way or at a server.
+func (d *Dispatcher) MayRelease(id policy.RequestID) (permit effects.Permit, out bool) {
 	req := d.requests.Find(id)
 	if req == nil {
-		return false, nil
+		return effects.Free, false
 	}
 	_, out = req.Outstanding()
 	stage := req.stage()
-	return out && stage > effects.Planned, req.MayRelease(stage)
+	return req.MayRelease(stage), out && stage > effects.Planned
 }
 
 // stage is how far the attempt that is out has come.
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -142,7 +142,7 @@
 func (c *conn) mayWrite(now loop.Nanos) error {
 	s := c.exit.settlements[c.request.ID]
 	return c.request.MayWrite(effects.WriteFacts{Now: now, Before: c.request.WriteBefore, Serving: c.server.health == policy.Serving,
-		Releasing: s != nil && len(s.tries) > 0})
+		Releasing: s != nil && len(s.tries) > 0 && !s.besideRead})
 }
 
 // dropAttempt takes an attempt that is not written off its connection.
@@ -156,9 +156,9 @@
 // writeRelease writes the release that the connection carries.
 func (c *conn) writeRelease(now loop.Nanos) {
 	s := c.release
-	out, err := c.exit.dispatcher.MayRelease(s.request)
-	if err != nil {
-		c.exit.violated(s.name, c.server, err)
+	permit, out := c.exit.dispatcher.MayRelease(s.request)
+	if permit == effects.Forbidden {
+		c.exit.violated(s.name, c.server, effects.ErrNeeded)
 		s.dropTry(c)
 		s.actSoon(now)
 		return
--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -13,20 +13,21 @@
 // settlement carries out what effects.Settlement decides for one request: it sends releases, and watches the connections of
 // attempts that were given up for their end. It outlives the request.
 type settlement struct {
-	exit    *Exit
-	account effects.Settlement
-	request policy.RequestID
-	name    []byte            // the client's name for the request
-	tries   []*conn           // that carry a release without an answer
-	round   int               // of tries since one was answered
-	tried   []policy.ServerID // in these rounds
-	retryAt loop.Nanos        // the next round
-	watched []*conn           // that show the end of an attempt given up
-	timer   loop.Timer
-	onTimer func(loop.Nanos)
-	next    *dispatch.Request // a read of the request that waits for its release
-	acting  bool
-	over    bool
+	exit       *Exit
+	account    effects.Settlement
+	request    policy.RequestID
+	name       []byte            // the client's name for the request
+	tries      []*conn           // that carry a release without an answer
+	besideRead bool              // they were begun while a read was out
+	round      int               // of tries since one was answered
+	tried      []policy.ServerID // in these rounds
+	retryAt    loop.Nanos        // the next round
+	watched    []*conn           // that show the end of an attempt given up
+	timer      loop.Timer
+	onTimer    func(loop.Nanos)
+	next       *dispatch.Request // a read of the request that waits for its release
+	acting     bool
+	over       bool
 }
 
 // settlement gives that of a request, made if there is none; nil if there may be no more.
@@ -69,14 +70,15 @@
 	s.acting = true
 	defer func() { s.acting = false }()
 	x := s.exit
-	out, blocked := x.dispatcher.MayRelease(s.request)
+	permit, out := x.dispatcher.MayRelease(s.request)
 	if s.account.Lost(now) {
 		x.releaseLost(s.name, "no server has taken it in time", s.tried, s.account.HeldFor(now))
 	}
-	action, at := s.account.Next(now, blocked == nil, out)
+	action, at := s.account.Next(now, permit, out)
 	switch action {
 	case effects.Send:
 		if now >= s.retryAt {
+			s.besideRead = permit == effects.Reluctantly
 			s.sendRound(now)
 		}
 		x.loop.At(&s.timer, max(s.retryAt, now+1), s.onTimer)
--- a/internal/node/heldstate_test.go
+++ b/internal/node/heldstate_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// Releases go on beside the next read of the request, which may never come to its server: the clock of what the one before may have left runs meanwhile.
+func TestReleaseBesideNextRead(t *testing.T) {
+	h := newHarness(t, simulated)
+	reader, writer, _, reading := h.inRead()
+	reading.close()
+	release := reader.accept()
+	if line := release.request(); !strings.HasPrefix(line, "DELETE ") {
+		t.Fatalf("%q, want a release", line)
+	}
+	release.send(noContent)
+	h.until("the next read's connection is made", func() bool { return reader.accepted == 3 })
+	h.run(transitTime) // what is written on it now does not arrive
+	reader.cut(true)
+	cut := h.now()
+	for at := cut; at+int64(heldMost) < cut+int64(3*time.Second); at += int64(heldMost) {
+		h.wantReleaseBy(jobName(1), at, at+int64(heldMost), writer)
+	}
+}
+
 // A read that was given up for its time may run yet: while its server is cut off, its state is released from time to time for as long as the longest
 // deadline of the settings.
 func TestReleaseRepeatsAfterTimeout(t *testing.T) {
