--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -36,7 +36,7 @@
 		return s
 	}
 	if !effects.MaySettle(len(x.settlements)) {
-		x.releaseLost(req.ClientID, "too many are under way", nil, 0)
+		x.releaseLost(req.ClientID, "too many are under way", 0, 0)
 		return nil
 	}
 	s := &settlement{exit: x, account: effects.NewSettlement(x.releaseTime, x.keeper.Idle), request: req.ID, name: slices.Clone(req.ClientID)}
@@ -72,7 +72,7 @@
 	x := s.exit
 	permit, out := x.dispatcher.MayRelease(s.request)
 	if s.account.Lost(now) {
-		x.releaseLost(s.name, "no server has taken it in time", s.tried, s.account.HeldFor(now))
+		x.releaseLost(s.name, "no server has taken it in time", len(s.tried), s.account.HeldFor(now))
 	}
 	action, at := s.account.Next(now, permit, out)
 	switch action {
@@ -174,10 +174,10 @@
 	}
 	if owed && held > x.releaseTime+effects.HeldSlack {
 		x.Counts.ReleasesLate++
-		x.log.Warn("release late", "request", string(s.name), "server", c.server.name, "held", held, "tries", s.tried)
+		x.log.Warn("release late", "request", string(s.name), "server", c.server.name, "held", held, "tries", len(s.tried))
 	}
 	if x.debug {
-		x.log.Debug("release answered", "request", string(s.name), "server", c.server.name, "tries", s.tried, "held", held, "owed", owed)
+		x.log.Debug("release answered", "request", string(s.name), "server", c.server.name, "tries", len(s.tried), "held", held, "owed", owed)
 	}
 	s.account.Answered(c.sentAt)
 	s.dropTries()
@@ -238,7 +238,7 @@
 // expire takes down that something may be left.
 func (s *settlement) expire(now loop.Nanos) {
 	if s.account.Owed() {
-		s.exit.log.Warn("release given up", "request", string(s.name), "tries", s.tried, "held", s.account.HeldFor(now))
+		s.exit.log.Warn("release given up", "request", string(s.name), "tries", len(s.tried), "held", s.account.HeldFor(now))
 		return
 	}
 	s.exit.log.Info("end of an attempt not confirmed", "request", string(s.name), "connections", len(s.watched))
@@ -262,8 +262,8 @@
 	x.loop.Again()
 }
 
-// releaseLost takes down that a state is left to the servers' own time, or is longer than it may be.
-func (x *Exit) releaseLost(name []byte, why string, tried []policy.ServerID, held int64) {
+// releaseLost takes down that a state is left to the servers' own time, or is longer than it may be. What it logs are values: the log is written beside.
+func (x *Exit) releaseLost(name []byte, why string, tried int, held int64) {
 	x.Counts.ReleasesLost++
 	x.log.Warn("release lost", "request", string(name), "why", why, "tries", tried, "held", held)
 }
