--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -81,6 +81,8 @@
 	begun    map[connKey]beginning
 	began    Moment
 	broken   []brokenRule
+	// TakesAll has a release take a state also from under an attempt that waits for it: the pages leave both open.
+	TakesAll bool
 	Reads    int // that left a state
 	Releases int // that came to a server
 }
@@ -321,7 +323,7 @@
 	return found
 }
 
-// Released tells that a release has come to a server. What an attempt waits for stays.
+// Released tells that a release has come to a server. What an attempt waits for stays, unless releases take all.
 func (l *Ledger) Released(at Moment, id, server string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -329,7 +331,7 @@
 	l.Releases++
 	l.note(a, at, "release at %s", server)
 	for _, t := range a.attempts {
-		if !t.read && t.over == 0 {
+		if !t.read && t.over == 0 && !l.TakesAll {
 			return
 		}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -61,6 +61,7 @@
 	release                               time.Duration
 	cancel                                bool
 	sockets                               int           // of a dispatcher
+	takesAll                              bool          // releases take states from under attempts that wait
 	every                                 time.Duration // a fault comes, on average
 }
 
@@ -86,6 +87,7 @@
 	case 1:
 		s.release = 400 * time.Millisecond
 	}
+	s.takesAll = rng.IntN(3) == 0
 	s.sockets = usualSockets
 	if rng.IntN(4) == 0 {
 		s.sockets = fewSockets
@@ -163,7 +165,7 @@
 func (s *Soak) Run() (v Verdict, err error) {
 	shape, faults := draw(s.Seed, s.Most, s.Length)
 	v = Verdict{Seed: s.Seed, Processes: shape.prefill + shape.decode + shape.dispatchers, Schedule: faults,
-		Settings: fmt.Sprintf("%d prefill, %d decode, %d dispatchers, %d sockets, release %v, cancel %v", shape.prefill, shape.decode, shape.dispatchers, shape.sockets, shape.release, shape.cancel)}
+		Settings: fmt.Sprintf("%d prefill, %d decode, %d dispatchers, %d sockets, release %v, cancel %v, releases take all %v", shape.prefill, shape.decode, shape.dispatchers, shape.sockets, shape.release, shape.cancel, shape.takesAll)}
 	if err := os.MkdirAll(s.Folder, 0o700); err != nil {
 		return v, err
 	}
@@ -172,7 +174,7 @@
 		return v, err
 	}
 	defer f.Close()
-	f.Sockets = shape.sockets
+	f.Sockets, f.Ledger.TakesAll = shape.sockets, shape.takesAll
 	if s.Dispatcher != nil {
 		f.dispatcherProgram = s.Dispatcher
 	}
