A release goes beside a read only where the read's server is silent; none passes a close

Ruled out: waits between attempts (median 1 ms), re-reads (as many reads as before).

Change: Record.MayRelease allows a release beside a read only if the read's server has not been heard since (Attempt.ServerHeard); else it waits for the read's end. What was heard on other connections is no proof of arrival and is not taken for one: it weighs the harm of a release against that of none.

--- a/internal/decide/effects/record.go
+++ b/internal/decide/effects/record.go
@@ -187,21 +187,24 @@
 
 const (
 	Free Permit = iota
-	// Reluctantly: a read of the request is on its way or at its server. A release might take its state, in the moment between its end and its
-	// answer; but as long as it is not known to have arrived, the clock of what else is held runs.
+	// Reluctantly: a read of the request is out to a server that has been silent since. A release would spoil the read if it is there after all; but
+	// while it has not arrived, the clock of what else is held runs.
 	Reluctantly
-	Forbidden // the next attempt needs the state
+	Forbidden // the next attempt needs the state, or a read is out that is likely to be at work
 )
 
-// MayRelease tells how freely a release may be sent now. stage is that of the attempt that is out.
-func (r *Record) MayRelease(stage Stage) Permit {
+// MayRelease tells how freely a release may be sent now. stage is that of the attempt that is out; heard tells that its server has been heard since it was
+// written, be it on another connection: that is no proof that it arrived, but makes it likely.
+func (r *Record) MayRelease(stage Stage, heard bool) Permit {
 	switch {
 	case r.state == held:
 		return Forbidden
-	case r.out && r.kind == Read && stage > Planned:
-		return Reluctantly
+	case !r.out || r.kind != Read || stage == Planned:
+		return Free
+	case heard:
+		return Forbidden
 	}
-	return Free
+	return Reluctantly
 }
 
 // Done tells that nothing is owed, out or held: the request's place may be used again.
--- a/internal/decide/effects/record_test.go
+++ b/internal/decide/effects/record_test.go
@@ -146,7 +146,7 @@
 	if got := due(Written); got != 1000 {
 		t.Errorf("after an answer: due at %d, want 1000", got)
 	}
-	if r.TakeForRelease() != nil || due(Written) != -1 || r.MayRelease(Written) != Free {
+	if r.TakeForRelease() != nil || due(Written) != -1 || r.MayRelease(Written, false) != Free {
 		t.Error("released beside it: not due again, and sent")
 	}
 }
@@ -157,26 +157,26 @@
 	free := WriteFacts{Now: 5, Before: 6, Serving: true}
 	releasing, draining, late := free, free, free
 	releasing.Releasing, draining.Serving, late.Now = true, false, 6
-	if r.MayRelease(Planned) != Free || r.MayWrite(free) != ErrNotOut {
+	if r.MayRelease(Planned, false) != Free || r.MayWrite(free) != ErrNotOut {
 		t.Error("nothing is out or held")
 	}
 	number, _ := r.BeginAttempt(Read)
-	if r.MayRelease(Planned) != Free || r.MayRelease(Connecting) != Reluctantly || r.MayWrite(releasing) != ErrCrossing || r.MayWrite(free) != nil {
-		t.Error("a read that waits lets a release pass, one that is sent does not")
+	if r.MayRelease(Planned, false) != Free || r.MayRelease(Connecting, false) != Reluctantly || r.MayRelease(Written, true) != Forbidden || r.MayWrite(releasing) != ErrCrossing || r.MayWrite(free) != nil {
+		t.Error("a read that waits lets a release pass, one that is sent only if its server is silent")
 	}
 	r.EndAttempt(9, number, policy.Read, 3, Arrived, true)
-	if r.MayRelease(Planned) != Forbidden {
+	if r.MayRelease(Planned, false) != Forbidden {
 		t.Error("a state is held")
 	}
 	r.BeginAttempt(Write)
 	if r.MayWrite(draining) != ErrDraining || r.MayWrite(late) != ErrTooLate {
 		t.Error("not to a server that drains, not when it is too late")
 	}
-	if r.MayRelease(Written) != Forbidden || r.MayWrite(releasing) != nil {
+	if r.MayRelease(Written, false) != Forbidden || r.MayWrite(releasing) != nil {
 		t.Error("a write takes the state")
 	}
 	r.Begun()
-	if r.MayRelease(Arrived) != Free {
+	if r.MayRelease(Arrived, false) != Free {
 		t.Error("its answer has begun")
 	}
 	r.Answer()
--- a/internal/decide/effects/settlement.go
+++ b/internal/decide/effects/settlement.go
@@ -133,9 +133,6 @@
 	return s.working
 }
 
-// Hurry ends the wait for confirmations: a read of the request waits for its release.
-func (s *Settlement) Hurry(now int64) { s.graceEnds = min(s.graceEnds, now) }
-
 // Began tells that a release is written; out: while an attempt of the request is out. A server may keep what such an attempt is taken to need, so
 // that another follows when it is over.
 func (s *Settlement) Began(out bool) { s.shadowed = s.shadowed || out }
--- a/internal/decide/effects/settlement_test.go
+++ b/internal/decide/effects/settlement_test.go
@@ -104,8 +104,7 @@
 	t.Error("never given up")
 }
 
-// A release waits for the end of the attempt that was given up just before, not for long, and not if a read waits for it. One that was
-// begun before the end was shown does not count.
+// A release waits for the end of the attempt that was given up just before, not for long. One that was begun before the end was shown does not count.
 func TestSettlementWaitsForTheEnd(t *testing.T) {
 	s := NewSettlement(testRelease, testIdle)
 	s.GivenUp(0, 4000, true)
@@ -116,17 +115,13 @@
 	if action, _ := s.Next(s.ReleaseTimeout(), Free, false); action != Send {
 		t.Error("the end is not shown in time: it goes all the same")
 	}
-	s.Hurry(5)
-	if action, _ := s.Next(5, Free, false); action != Send {
-		t.Error("a read waits for it")
-	}
-	s.Confirmed(7)
-	s.Answered(5)
-	if action, _ := s.Next(8, Free, false); action != Send || !s.Owed() {
+	s.Confirmed(107)
+	s.Answered(100)
+	if action, _ := s.Next(108, Free, false); action != Send || !s.Owed() {
 		t.Error("the release passed before the end")
 	}
-	s.Answered(8)
-	if action, _ := s.Next(9, Free, false); action != Settled {
+	s.Answered(108)
+	if action, _ := s.Next(109, Free, false); action != Settled {
 		t.Error("nothing is left")
 	}
 }
--- a/internal/dispatch/exit.go
+++ b/internal/dispatch/exit.go
@@ -45,6 +45,8 @@
 	Credit(n int)
 	// Stage is how far it is known to have come.
 	Stage() effects.Stage
+	// ServerHeard tells that its server has been heard since it was written, on whatever connection.
+	ServerHeard() bool
 }
 
 // ListUpdated tells the module news of the list: tell is called between its beginning and its end; some, that they name a server.
@@ -133,7 +135,8 @@
 	}
 	_, out = req.Outstanding()
 	stage := req.stage()
-	return req.MayRelease(stage), out && stage > effects.Planned
+	heard := req.attempt != nil && req.attempt.ServerHeard()
+	return req.MayRelease(stage, heard), out && stage > effects.Planned
 }
 
 // stage is how far the attempt that is out has come.
--- a/internal/dispatch/grpcexit.go
+++ b/internal/dispatch/grpcexit.go
@@ -147,3 +147,6 @@
 	}
 	return effects.Connecting
 }
+
+// ServerHeard implements Attempt: connections are asked for signs of life.
+func (s *grpcAttempt) ServerHeard() bool { return s.conn != nil && s.conn.ready }
--- a/internal/dispatch/overdue_test.go
+++ b/internal/dispatch/overdue_test.go
@@ -61,6 +61,7 @@
 func (x *silentExit) End(loop.Nanos) bool                                                           { x.closed++; return true }
 func (*silentExit) Ended(loop.Nanos)                                                                {}
 func (*silentExit) Credit(int)                                                                      {}
+func (*silentExit) ServerHeard() bool                                                               { return true }
 func (*silentExit) Stage() effects.Stage                                                            { return effects.Arrived }
 
 // answers counts what a client was told.
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -481,3 +481,8 @@
 
 // Stage implements dispatch.Attempt.
 func (c *conn) Stage() effects.Stage { return c.effect.Stage() }
+
+// ServerHeard implements dispatch.Attempt.
+func (c *conn) ServerHeard() bool {
+	return c.effect.Stage() >= effects.Writing && c.server.heardAt > c.sentAt
+}
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -221,7 +221,6 @@
 func (x *Exit) Send(now loop.Nanos, req *dispatch.Request, _ policy.AttemptNumber) dispatch.Attempt {
 	if s := x.settlements[req.ID]; s != nil && req.Prefill && s.underWay() {
 		s.next = req
-		s.account.Hurry(now)
 		s.actSoon(now) // not at once: the dispatcher does not know yet that the attempt is held here
 		return s
 	}
--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -285,6 +285,9 @@
 // Stage implements dispatch.Attempt.
 func (s *settlement) Stage() effects.Stage { return effects.Planned }
 
+// ServerHeard implements dispatch.Attempt.
+func (s *settlement) ServerHeard() bool { return false }
+
 // ---- Connections of attempts that were given up.
 
 // watch keeps the connection of an attempt that is given up: its sending is ended, which is how the server learns of it, and the server's
