--- a/internal/decide/effects/settlement.go
+++ b/internal/decide/effects/settlement.go
@@ -216,7 +216,7 @@
 	switch {
 	case now < due:
 		return Wait, due
-	case permit == Forbidden:
+	case permit != Free: // it may be for nothing, and would spoil a read for sure
 		return Wait, now + s.ReleaseTimeout()
 	}
 	return Send, 0
