--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -84,7 +84,7 @@
 		c.retire()
 	case req == nil || c.effect.KnownArrived():
 	case c.effect.Stage() < effects.Writing:
-		c.dropAttempt()
+		c.drop()
 		c.exit.dispatcher.Finish(now, req, policy.Unreachable, "", policy.NoLoad)
 		c.exit.loop.Again()
 	default:
@@ -118,7 +118,7 @@
 		if err != effects.ErrTooLate {
 			c.exit.violated(req.ClientID, c.server, err)
 		}
-		c.dropAttempt()
+		c.drop()
 		return false
 	}
 	c.begin(now)
@@ -145,10 +145,10 @@
 		Releasing: s != nil && len(s.tries) > 0 && !s.besideRead})
 }
 
-// dropAttempt takes an attempt that is not written off its connection.
-func (c *conn) dropAttempt() {
+// drop takes what the connection carries off it and closes it.
+func (c *conn) drop() {
 	c.abandon()
-	c.request = nil
+	c.request, c.release = nil, nil
 	c.conn.Close()
 	c.leave()
 }
@@ -320,10 +320,7 @@
 // ended tells what carried on the connection that it is of no more use: spoilt by what came on it, or lost.
 func (c *conn) ended(now loop.Nanos, spoilt bool) {
 	req, r := c.request, c.release
-	c.abandon()
-	c.request, c.release = nil, nil
-	c.conn.Close()
-	c.leave()
+	c.drop()
 	switch {
 	case req != nil:
 		outcome := policy.Broken
--- a/internal/exit/platform/exit.go
+++ b/internal/exit/platform/exit.go
@@ -362,7 +362,7 @@
 	}
 	for _, c := range slices.Clone(srv.conns) {
 		if req := c.request; req != nil && !c.ready {
-			c.dropAttempt()
+			c.drop()
 			srv.x.dispatcher.Finish(now, req, policy.NotSent, "", policy.NoLoad)
 		}
 	}
--- a/internal/exit/platform/settlement.go
+++ b/internal/exit/platform/settlement.go
@@ -213,10 +213,7 @@
 // dropTry gives up a release that has no answer.
 func (s *settlement) dropTry(c *conn) {
 	s.forget(c)
-	c.abandon()
-	c.release = nil
-	c.conn.Close()
-	c.leave()
+	c.drop()
 }
 
 // sendNext sends the read that waits, once no release is under way that could take its state.
