A release overtaken by the read it was to go beside is dropped without an alarm

Found by reading the change once more: conn.writeRelease counted a violation where the connection of a release begun beside a silent read came up after that read's answer, or a sign of its server. Dropping it is right, the alarm is not: nothing was about to be sent against a rule by a fault of the program. Not seen in a run. effects.MayWriteRelease tells the two apart (ErrOvertaken, ErrNeeded); TestMayWriteRelease. go test of decide, exit and node passes.

--- a/internal/decide/effects/record.go
+++ b/internal/decide/effects/record.go
@@ -17,6 +17,9 @@
 	ErrDraining = errors.New("nothing new may be sent to a server that drains or is gone")
 )
 
+// ErrOvertaken is no fault: while the connection of a release came up, the read that it was to go beside has been answered, or its server heard.
+var ErrOvertaken = errors.New("the read beside which the release was to go has shown a sign of life")
+
 // ErrTooLate is no fault: the connection of a repeat took longer to come up than its group remembers the first run.
 var ErrTooLate = errors.New("the attempt may not be begun any more")
 
@@ -207,6 +210,18 @@
 	return Reluctantly
 }
 
+// MayWriteRelease tells whether a release may be written now, as its connection has come up. besideRead: it was begun beside a read that had shown no sign of
+// life.
+func MayWriteRelease(permit Permit, besideRead bool) error {
+	switch {
+	case permit != Forbidden:
+		return nil
+	case besideRead:
+		return ErrOvertaken
+	}
+	return ErrNeeded
+}
+
 // Done tells that nothing is owed, out or held: the request's place may be used again.
 func (r *Record) Done() bool { return r.answered && !r.out && r.state != held }
 
--- a/internal/decide/effects/record_test.go
+++ b/internal/decide/effects/record_test.go
@@ -185,6 +185,15 @@
 	}
 }
 
+// A release that comes too late for a read beside which it was to go is no fault, one that would take a state otherwise is.
+func TestMayWriteRelease(t *testing.T) {
+	for permit, want := range map[Permit][2]error{Free: {nil, nil}, Reluctantly: {nil, nil}, Forbidden: {ErrNeeded, ErrOvertaken}} {
+		if got := [2]error{MayWriteRelease(permit, false), MayWriteRelease(permit, true)}; got != want {
+			t.Errorf("permit %d: %v, want %v", permit, got, want)
+		}
+	}
+}
+
 // Stages follow in their order.
 func TestAdvance(t *testing.T) {
 	e := New(Release)
--- a/internal/exit/platform/conn.go
+++ b/internal/exit/platform/conn.go
@@ -157,8 +157,10 @@
 func (c *conn) writeRelease(now loop.Nanos) {
 	s := c.release
 	permit, out := c.exit.dispatcher.MayRelease(s.request)
-	if permit == effects.Forbidden {
-		c.exit.violated(s.name, c.server, effects.ErrNeeded)
+	if err := effects.MayWriteRelease(permit, s.besideRead); err != nil {
+		if err != effects.ErrOvertaken {
+			c.exit.violated(s.name, c.server, err)
+		}
 		s.dropTry(c)
 		s.actSoon(now)
 		return
