batchscheduler: recorded decisions and backoffs are checked

Cause: TestRecordedDecisions compared nothing, as its list of digests was empty, and TestBackoff's bound on the growth of a backoff was always 0.

--- a/internal/decide/batchscheduler/recorded_test.go
+++ b/internal/decide/batchscheduler/recorded_test.go
@@ -7,9 +7,21 @@
 	"testing"
 )
 
-// recordedDecisions holds the digests that randomDecisions returned with the scheduler of commit 61b72d4, indexed by
-// seed.
-var recordedDecisions = []uint64{}
+// recordedSeeds is the number of random sequences whose decisions are recorded.
+const recordedSeeds = 8
+
+// recordedDecisions holds the digests of randomDecisions, indexed by seed. A change of decisions replaces them in the
+// same commit.
+var recordedDecisions = []uint64{
+	0xf6a8ac4265afc2a,
+	0xb23ea8696b81fe7c,
+	0x592ce36e78173dee,
+	0x2ed061fe72e350ce,
+	0xf8b0542d78a1d790,
+	0x6a2238aeaf255b10,
+	0xc52c10f9b32eb889,
+	0x3d27ed04dcf09395,
+}
 
 // randomDecisions returns a digest of a scheduler's decisions in a random sequence of calls.
 func randomDecisions(t *testing.T, seed uint64) uint64 {
@@ -76,8 +88,11 @@
 	return digest.Sum64()
 }
 
-// TestRecordedDecisions checks that the scheduler still takes the decisions of commit 61b72d4.
+// TestRecordedDecisions checks that the scheduler still takes the recorded decisions.
 func TestRecordedDecisions(t *testing.T) {
+	if len(recordedDecisions) != recordedSeeds {
+		t.Errorf("%d digests are recorded, want %d", len(recordedDecisions), recordedSeeds)
+	}
 	for seed, want := range recordedDecisions {
 		if got := randomDecisions(t, uint64(seed)); got != want {
 			t.Errorf("seed %d: digest %#x, want %#x", seed, got, want)
--- a/internal/decide/batchscheduler/scheduler_test.go
+++ b/internal/decide/batchscheduler/scheduler_test.go
@@ -179,32 +179,41 @@
 	}
 }
 
-// TestBackoff checks that the backoff of a rejected line is bounded and at least the requested wait, and that a line
-// fails after maxUncertainAttempts attempts that may have run.
+// rejectLine sends the only line of a scheduler's only batch, rejects it and returns its backoff.
+func rejectLine(t *testing.T, s *Scheduler, now, retryAfter Nanos) (backoff Nanos) {
+	t.Helper()
+	id, l, ok := s.NextLine(now)
+	if !ok {
+		t.Fatal("no line is sent")
+	}
+	if verdict, _ := s.ReportOutcome(now, id, l, OutcomeRejected, retryAfter); verdict != VerdictRetry {
+		t.Fatal(verdict)
+	}
+	retryAt, _ := s.NextEventAt(now)
+	if _, _, ok := s.NextLine(retryAt - 1); ok {
+		t.Error("the line is retried before its backoff has ended")
+	}
+	return retryAt - now
+}
+
+// TestBackoff checks that the backoff of a rejected line doubles up to its bound, with jitter, and is at least the
+// requested wait, and that a line fails after maxUncertainAttempts attempts that may have run.
 func TestBackoff(t *testing.T) {
 	s := newScheduler(t, 1, 1)
 	addBatch(t, s, Batch{ID: 1, Deadline: 1000 * second, Lines: waitingLines(1)})
-	now, last := Nanos(1), Nanos(0)
+	now := Nanos(1)
 	for i := range 8 {
-		_, l, ok := s.NextLine(now)
-		if !ok {
-			t.Fatal(i)
-		}
+		least := second / 10 << min(i, 6)
 		retryAfter := Nanos(0)
 		if i == 5 {
 			retryAfter = 30 * second
 		}
-		if verdict, _ := s.ReportOutcome(now, 1, l, OutcomeRejected, retryAfter); verdict != VerdictRetry {
-			t.Fatal(verdict)
-		}
-		if _, _, ok := s.NextLine(now + last); ok {
-			t.Errorf("attempt %d is retried without a backoff", i)
-		}
-		at, _ := s.NextEventAt(now)
-		if at < now+retryAfter || at-now < last/2 || at-now > 40*second {
-			t.Errorf("attempt %d is retried after %d ms", i, (at-now)/1e6)
+		least = max(least, retryAfter)
+		backoff := rejectLine(t, s, now, retryAfter)
+		if backoff < least || backoff > least+least/4 {
+			t.Errorf("attempt %d is retried after %d ms, want %d to a quarter more", i, backoff/1e6, least/1e6)
 		}
-		now, last = at, 0
+		now += backoff
 	}
 	for i := range maxUncertainAttempts {
 		_, l, ok := s.NextLine(now)
