batchscheduler: the backoff stays at its longest

Before: TestBackoffStaysAtBound fails, backoffs of 109 ms to 3.3 s from the 255th rejection on. Callers lost nothing; a fleet without room was asked more often than it had said. Cause: the count of rejections is a uint8 that wraps around, and the backoff is computed from it (first wrong backoff at count 256 = 0). Why it works: the count stops at maxBackoffSteps, beyond which a backoff does not change.

--- a/internal/decide/batchscheduler/outcome.go
+++ b/internal/decide/batchscheduler/outcome.go
@@ -53,7 +53,7 @@
 	backoffFactor = 2.0
 	// maxBackoffMultiple bounds a backoff, as a multiple of the initial backoff.
 	maxBackoffMultiple = 64
-	// maxBackoffSteps bounds the multiplications for one backoff.
+	// maxBackoffSteps bounds the count of rejections, and with it the multiplications for one backoff.
 	maxBackoffSteps = 32
 	// jitterFraction bounds the random part of a backoff, as a fraction of it. It spreads out the retries of lines that
 	// were rejected together.
@@ -112,7 +112,7 @@
 	case b.stopped || now >= b.Deadline:
 		return ReasonWindowExpired
 	case outcome == OutcomeRejected:
-		line.rejections++
+		line.rejections = min(line.rejections+1, maxBackoffSteps)
 		return ""
 	}
 	line.uncertainAttempts++
@@ -127,7 +127,7 @@
 	initial := float64(s.initialBackoff)
 	wait := initial
 	attempts := int(line.uncertainAttempts) + int(line.rejections)
-	for range min(attempts-1, maxBackoffSteps) {
+	for range attempts - 1 {
 		wait = min(wait*backoffFactor, maxBackoffMultiple*initial)
 	}
 	return Nanos(max(wait, float64(retryAfter)) * (1 + jitterFraction*s.random()))
--- a/internal/decide/batchscheduler/scheduler.go
+++ b/internal/decide/batchscheduler/scheduler.go
@@ -46,7 +46,7 @@
 	LineSpec
 	index             LineIndex
 	uncertainAttempts uint8 // attempts that may have run
-	rejections        uint8 // wraps around, which resets the backoff
+	rejections        uint8 // at most maxBackoffSteps
 	firstUncertainAt  Nanos // end of the first attempt that may have run; 0 = none
 	retryAt           Nanos
 	heapIndex         int // index in batchRecord.retries
--- a/internal/decide/batchscheduler/scheduler_test.go
+++ b/internal/decide/batchscheduler/scheduler_test.go
@@ -229,6 +229,20 @@
 	}
 }
 
+// TestBackoffStaysAtBound guards against a count of rejections that wraps around, which starts the backoff anew.
+func TestBackoffStaysAtBound(t *testing.T) {
+	s := newScheduler(t, 1, 1)
+	addBatch(t, s, Batch{ID: 1, Deadline: 1e6 * second, Lines: waitingLines(1)})
+	now := Nanos(1)
+	for i := range 600 {
+		backoff := rejectLine(t, s, now, 0)
+		if longest := maxBackoffMultiple * second / 10; i > 20 && backoff < longest {
+			t.Errorf("attempt %d is retried after %d ms, want %d", i, backoff/1e6, longest/1e6)
+		}
+		now += backoff
+	}
+}
+
 // TestDeadline checks that a batch whose deadline passes sends no further line, waits for its lines in flight and
 // returns the others as unsent.
 func TestDeadline(t *testing.T) {
