batchscheduler: a repeat begins within its deduplication window or not at all

Callers saw an effect twice: a deduplicated line was sent again after servers had forgotten it. Cause: countAttempt compared the window only at the end of an attempt that may have run, from that end. Why it works: mayAttempt is asked with the time at which an attempt would begin, when it is planned, selected and sent; the window counts from the start of the first attempt that may have run; a repeat's timeout ends with the window; ExpireNextLine ends lines that wait beyond it.

--- a/internal/batchrunner/finalize.go
+++ b/internal/batchrunner/finalize.go
@@ -16,20 +16,37 @@
 	state  batchscheduler.BatchState    // terminal
 	code   errorCode                    // of the unsent lines
 	reason batchscheduler.FailureReason // of the unsent lines
+	// mayHaveRun has the unsent lines that may have run in an earlier attempt and whose repetition may do harm.
+	mayHaveRun map[batchscheduler.LineIndex]bool
+}
+
+// failure returns the code and reason with which an unsent line fails.
+func (e *ending) failure(index batchscheduler.LineIndex) (errorCode, batchscheduler.FailureReason) {
+	if e.mayHaveRun[index] {
+		return codeMayHaveRun, batchscheduler.ReasonMayHaveRun
+	}
+	return e.code, e.reason
 }
 
 // endingOf returns how a batch ends. All its lines except the unsent ones must have ended.
 func (r *Runner) endingOf(a *activeBatch, unsent []batchscheduler.LineIndex) ending {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	end := ending{state: batchscheduler.StateCompleted, mayHaveRun: map[batchscheduler.LineIndex]bool{}}
 	switch {
 	case a.record.State == batchscheduler.StateCancelling:
-		return ending{batchscheduler.StateCancelled, codeBatchCancelled, batchscheduler.ReasonCancelled}
+		end.state, end.code = batchscheduler.StateCancelled, codeBatchCancelled
+		end.reason = batchscheduler.ReasonCancelled
 	case len(unsent) > 0 || a.expired:
-		return ending{batchscheduler.StateExpired, codeBatchExpired, batchscheduler.ReasonWindowExpired}
-	default:
-		return ending{state: batchscheduler.StateCompleted}
+		end.state, end.code = batchscheduler.StateExpired, codeBatchExpired
+		end.reason = batchscheduler.ReasonWindowExpired
+	}
+	for _, index := range unsent {
+		if r.scheduler.MayHaveRun(a.id, index) {
+			end.mayHaveRun[index] = true
+		}
 	}
+	return end
 }
 
 // finalizeBatch fails the unsent lines of a batch, writes its result files and removes it from the scheduler. It
@@ -63,7 +80,8 @@
 // tryFinalize fails the unsent lines and writes the result files. It may be called again after an error.
 func (r *Runner) tryFinalize(a *activeBatch, unsent []batchscheduler.LineIndex, end ending) error {
 	failureText := func(index batchscheduler.LineIndex, line batchstore.Line) []byte {
-		return encodeFailure(a.record.ID, index, line.CustomID, end.code, string(end.reason))
+		code, reason := end.failure(index)
+		return encodeFailure(a.record.ID, index, line.CustomID, code, string(reason))
 	}
 	if err := r.store.FailLines(a.record.ID, unsent, failureText); err != nil {
 		return err
--- a/internal/batchrunner/runner.go
+++ b/internal/batchrunner/runner.go
@@ -168,13 +168,14 @@
 	}
 }
 
-// runOnce expires batches, sends lines and starts finalizations that are due. It returns the time until the next event,
-// and false if there is none.
+// runOnce expires batches and lines, sends lines and starts finalizations that are due. It returns the time until the
+// next event, and false if there is none.
 func (r *Runner) runOnce(ctx context.Context) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
 	r.expireBatches(now)
+	r.expireLines(now)
 	r.sendLines(now)
 	r.finalizeEndedBatches(ctx)
 	next, ok := r.scheduler.NextEventAt(now)
@@ -195,6 +196,24 @@
 	}
 }
 
+// expireLines stores the failures of the lines that may have run and whose deduplication window is over. r.mu must be
+// held.
+func (r *Runner) expireLines(now batchscheduler.Nanos) {
+	expired := map[*activeBatch][]batchscheduler.LineIndex{}
+	for {
+		id, index, ok := r.scheduler.ExpireNextLine(now)
+		if !ok {
+			break
+		}
+		a := r.byID[id]
+		expired[a] = append(expired[a], index)
+	}
+	for a, lines := range expired {
+		a.unstoredEnds++
+		r.wg.Go(func() { r.storeExpiredLines(a, lines) })
+	}
+}
+
 // sendLines sends the lines that the scheduler allows to be sent. r.mu must be held.
 func (r *Runner) sendLines(now batchscheduler.Nanos) {
 	for {
--- a/internal/batchrunner/runner_test.go
+++ b/internal/batchrunner/runner_test.go
@@ -34,13 +34,15 @@
 	pb.UnimplementedGenerationServer
 	mu       sync.Mutex
 	received []string
-	attempts map[string]int // by label
+	attempts map[string]int             // by label
+	timeouts map[string][]time.Duration // of the attempts, by label
 }
 
 func (d *fakeDispatcher) Generate(r *pb.GenerateRequest, stream grpc.ServerStreamingServer[pb.Tokens]) error {
 	d.mu.Lock()
 	d.attempts[r.Label]++
 	attempt := d.attempts[r.Label]
+	d.timeouts[r.Label] = append(d.timeouts[r.Label], time.Duration(r.PatienceNs))
 	recorded := &pb.GenerateRequest{
 		Track: r.Track, Tenant: r.Tenant, Session: r.Session, Beginning: r.Beginning, PromptTokens: r.PromptTokens,
 		BeginningTokens: r.BeginningTokens, MaxTokens: r.MaxTokens, Label: r.Label, LengthHintNs: r.LengthHintNs,
@@ -131,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	dispatcher := &fakeDispatcher{attempts: map[string]int{}}
+	dispatcher := &fakeDispatcher{attempts: map[string]int{}, timeouts: map[string][]time.Duration{}}
 	server := grpc.NewServer()
 	pb.RegisterGenerationServer(server, dispatcher)
 	served := make(chan error, 1)
@@ -142,6 +144,7 @@
 			"draft":    {Idempotency: batchscheduler.Idempotent, Timeout: 2 * time.Second},
 			"book":     {Idempotency: batchscheduler.NonIdempotent, Timeout: 2 * time.Second},
 			"labelled": {Idempotency: batchscheduler.Deduplicated, DeduplicationWindow: time.Minute, Timeout: 2 * time.Second},
+			"brief":    {Idempotency: batchscheduler.Deduplicated, DeduplicationWindow: time.Second, Timeout: 2 * time.Second},
 			"online":   {},
 		},
 		MaxLinesInFlight: 8, InitialBackoff: 2 * time.Millisecond, MaxLines: 20, MaxLineBytes: 1000, Seed: 1,
@@ -336,6 +339,24 @@
 	}
 }
 
+// TestRepeatEndsWithWindow guards against a repeat that the dispatcher may begin after the deduplication window.
+func TestRepeatEndsWithWindow(t *testing.T) {
+	f := newFixture(t, t.TempDir())
+	b := f.submit(line("one", "brief", "lost", ""), time.Hour)
+	f.waitFor(b.ID, isTerminal)
+	f.dispatcher.mu.Lock()
+	defer f.dispatcher.mu.Unlock()
+	timeouts := f.dispatcher.timeouts[b.ID+"/one"]
+	if len(timeouts) < 2 {
+		t.Fatalf("the line was sent %d times, want a repeat", len(timeouts))
+	}
+	for i, timeout := range timeouts[1:] {
+		if timeout > time.Second {
+			t.Errorf("repeat %d may begin for %v, want at most the window of 1 s", i+1, timeout)
+		}
+	}
+}
+
 // TestResume checks that a batch in progress when its runner stopped is resumed by the next runner: an idempotent line
 // is sent again, and a non-idempotent line that may have run fails.
 func TestResume(t *testing.T) {
--- a/internal/batchrunner/send.go
+++ b/internal/batchrunner/send.go
@@ -25,8 +25,8 @@
 	pushbackKey   = "grpc-retry-pushback-ms"
 )
 
-// storeRetryInterval is the wait before a line is retried whose state could not be stored.
-const storeRetryInterval = time.Second
+// minAttemptTimeout is the least timeout of an attempt.
+const minAttemptTimeout = time.Millisecond
 
 // attemptResult is the result of an attempt to run a line.
 type attemptResult struct {
@@ -77,8 +77,10 @@
 func (r *Runner) generate(
 	a *activeBatch, index batchscheduler.LineIndex, request *lineRequest, class Class,
 ) attemptResult {
-	deadline, _ := a.ctx.Deadline()
-	timeout := min(class.Timeout, max(time.Until(deadline), time.Millisecond))
+	timeout, ok := r.attemptTimeout(a, index, class)
+	if !ok {
+		return attemptResult{outcome: batchscheduler.OutcomeRejected} // which ends the line, as it may have run before
+	}
 	body := &request.Body
 	ctx := metadata.AppendToOutgoingContext(a.ctx, backgroundKey, "1")
 	stream, err := r.client.Generate(ctx, &pb.GenerateRequest{
@@ -105,6 +107,24 @@
 	}
 }
 
+// attemptTimeout returns the timeout of an attempt that begins now, or false if it may not begin any more.
+func (r *Runner) attemptTimeout(
+	a *activeBatch, index batchscheduler.LineIndex, class Class,
+) (timeout time.Duration, ok bool) {
+	batchDeadline, _ := a.ctx.Deadline()
+	timeout = min(class.Timeout, time.Until(batchDeadline))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if repeatDeadline, ok := r.scheduler.RepeatDeadline(a.id, index); ok {
+		remaining := time.Duration(repeatDeadline - r.now())
+		if remaining <= 0 {
+			return 0, false
+		}
+		timeout = min(timeout, remaining)
+	}
+	return max(timeout, minAttemptTimeout), true
+}
+
 // answer is the complete answer to a line's request.
 type answer struct {
 	requestID string // assigned by the dispatcher
@@ -194,8 +214,5 @@
 			r.log.Error("line state not stored", "batch_id", a.record.ID, "line", index+1, "error", err)
 		}
 	}
-	r.mu.Lock()
-	a.unstoredEnds--
-	r.mu.Unlock()
-	r.wakeLoop()
+	r.endStored(a)
 }
--- a/internal/decide/batchscheduler/outcome.go
+++ b/internal/decide/batchscheduler/outcome.go
@@ -72,21 +72,26 @@
 	line := &b.lines[index]
 	b.inFlight--
 	s.inFlight--
-	if outcome.mayHaveRun() && line.firstUncertainAt == 0 {
-		line.firstUncertainAt = now
+	if outcome.mayHaveRun() {
+		line.countUncertainAttempt()
 	}
 	if outcome == OutcomeServed {
 		b.completeLine(now, line)
 		return VerdictCompleted, ""
 	}
-	if reason := b.countAttempt(now, line, outcome); reason != "" {
-		line.State = LineFailed
-		b.remainingCost -= line.Cost
+	if reason := b.failureReason(now, line, outcome); reason != "" {
+		b.failLine(line)
 		return VerdictFailed, reason
 	}
-	line.State, line.retryAt = LineWaiting, now+s.backoff(line, retryAfter)
-	b.waiting++
-	b.retries.PushOrFix(line)
+	if outcome == OutcomeRejected {
+		line.rejections = min(line.rejections+1, maxBackoffSteps)
+	}
+	retryAt := now + s.backoff(line, retryAfter)
+	if !b.mayAttempt(retryAt, line) {
+		b.failLine(line)
+		return VerdictFailed, ReasonDeduplicationExpired
+	}
+	b.addRetry(line, retryAt)
 	return VerdictRetry, ""
 }
 
@@ -98,25 +103,27 @@
 	b.completedCount++
 }
 
-// countAttempt counts an attempt that was not served. It returns the reason if the line has failed by it, or "" if the
-// line may be retried.
-func (b *batchRecord) countAttempt(now Nanos, line *lineRecord, outcome Outcome) FailureReason {
-	mayHaveRun := outcome.mayHaveRun()
-	switch {
-	case outcome == OutcomeInvalid:
-		return ReasonInvalidRequest
+// failLine records that a line has failed.
+func (b *batchRecord) failLine(line *lineRecord) {
+	line.State = LineFailed
+	b.remainingCost -= line.Cost
+}
+
+// failureReason returns why a line whose attempt was not served has failed by it, or "" if it may be retried. A line
+// whose repetition may do harm fails as one that may have run, whatever ends it.
+func (b *batchRecord) failureReason(now Nanos, line *lineRecord, outcome Outcome) FailureReason {
+	switch mayHaveRun := b.mayHaveRunOnce(line); {
 	case mayHaveRun && b.Idempotency == NonIdempotent:
 		return ReasonMayHaveRun
-	case mayHaveRun && b.Idempotency == Deduplicated && now > line.firstUncertainAt+b.DeduplicationWindow:
+	case mayHaveRun && !b.mayAttempt(now, line):
 		return ReasonDeduplicationExpired
+	case mayHaveRun && (outcome == OutcomeInvalid || b.stopped || now >= b.Deadline):
+		return ReasonMayHaveRun
+	case outcome == OutcomeInvalid:
+		return ReasonInvalidRequest
 	case b.stopped || now >= b.Deadline:
 		return ReasonWindowExpired
-	case outcome == OutcomeRejected:
-		line.rejections = min(line.rejections+1, maxBackoffSteps)
-		return ""
-	}
-	line.uncertainAttempts++
-	if line.uncertainAttempts >= maxUncertainAttempts {
+	case line.uncertainAttempts >= maxUncertainAttempts:
 		return ReasonTooManyAttempts
 	}
 	return ""
--- a/internal/decide/batchscheduler/recorded_test.go
+++ b/internal/decide/batchscheduler/recorded_test.go
@@ -13,14 +13,14 @@
 // recordedDecisions holds the digests of randomDecisions, indexed by seed. A change of decisions replaces them in the
 // same commit.
 var recordedDecisions = []uint64{
-	0xf6a8ac4265afc2a,
-	0xb23ea8696b81fe7c,
-	0x592ce36e78173dee,
-	0x2ed061fe72e350ce,
-	0xf8b0542d78a1d790,
-	0x6a2238aeaf255b10,
-	0xc52c10f9b32eb889,
-	0x3d27ed04dcf09395,
+	0x5df131716b0301d5,
+	0x97226e5a311eb39d,
+	0x62bf9c8c9516a256,
+	0x349dd4dae39028d1,
+	0x36cff97aa8fdf38f,
+	0xdd41c668fe57555,
+	0x588d4e4ed88adcb0,
+	0xbddb01b41121da8b,
 }
 
 // randomDecisions returns a digest of a scheduler's decisions in a random sequence of calls.
@@ -70,7 +70,9 @@
 			at, ok := s.Forecast(now, BatchID(rng.IntN(31)))
 			record("forecast", at, ok)
 		case action < 25:
-			id, index, ok := s.NextLine(now)
+			id, index, ok := s.ExpireNextLine(now)
+			record("expire line", id, index, ok)
+			id, index, ok = s.NextLine(now)
 			record("next", id, index, ok)
 			if ok {
 				sent = append(sent, sentLine{id, index})
--- a/internal/decide/batchscheduler/scheduler.go
+++ b/internal/decide/batchscheduler/scheduler.go
@@ -26,7 +26,7 @@
 	ID                  BatchID
 	Tenant              int // index into the weights given to New
 	Idempotency         Idempotency
-	DeduplicationWindow Nanos // for Deduplicated lines, counted from the end of the first attempt that may have run
+	DeduplicationWindow Nanos // for Deduplicated lines, counted from the start of the first attempt that may have run
 	Deadline            Nanos // end of the completion window
 	Lines               []LineSpec
 }
@@ -47,9 +47,11 @@
 	index             LineIndex
 	uncertainAttempts uint8 // attempts that may have run
 	rejections        uint8 // at most maxBackoffSteps
-	firstUncertainAt  Nanos // end of the first attempt that may have run; 0 = none
+	sentAt            Nanos // start of the latest attempt
+	firstUncertainAt  Nanos // start of the first attempt that may have run, if uncertainAttempts is above 0
 	retryAt           Nanos
-	heapIndex         int // index in batchRecord.retries
+	retryIndex        int // index in batchRecord.retries
+	repeatIndex       int // index in batchRecord.repeats
 }
 
 // batchRecord is a batch with the state of its lines.
@@ -57,8 +59,9 @@
 	Batch
 	lines           []lineRecord
 	sendOrder       []LineIndex
-	nextUnsent      int // index in sendOrder
-	retries         indexedheap.Heap[*lineRecord]
+	nextUnsent      int                           // index in sendOrder
+	retries         indexedheap.Heap[*lineRecord] // lines that wait for another attempt, by retryAt
+	repeats         indexedheap.Heap[*lineRecord] // those of them with a deduplication window, by its start
 	waiting         int
 	inFlight        int
 	remainingCost   float64 // of lines that have not ended
@@ -125,9 +128,13 @@
 		Batch: b,
 		lines: make([]lineRecord, len(b.Lines)),
 		retries: indexedheap.Heap[*lineRecord]{
-			Index: func(l *lineRecord) *int { return &l.heapIndex },
+			Index: func(l *lineRecord) *int { return &l.retryIndex },
 			Less:  func(a, b *lineRecord) bool { return a.retryAt < b.retryAt },
 		},
+		repeats: indexedheap.Heap[*lineRecord]{
+			Index: func(l *lineRecord) *int { return &l.repeatIndex },
+			Less:  func(a, b *lineRecord) bool { return a.firstUncertainAt < b.firstUncertainAt },
+		},
 	}
 	for i, line := range b.Lines {
 		if line.State == LineInFlight {
@@ -207,7 +214,8 @@
 	return unsent, true
 }
 
-// NextEventAt returns when the next retry becomes due or the next deadline passes, and false if there is neither.
+// NextEventAt returns when the next retry becomes due or the next deadline of a batch or line passes, and false if
+// there is neither.
 func (s *Scheduler) NextEventAt(now Nanos) (Nanos, bool) {
 	next, ok := Nanos(0), false
 	for _, b := range s.batches {
@@ -218,6 +226,9 @@
 		if b.retries.Len() > 0 {
 			at = min(at, b.retries.Min().retryAt)
 		}
+		if b.repeats.Len() > 0 {
+			at = min(at, b.repeatDeadline(b.repeats.Min()))
+		}
 		if !ok || at < next {
 			next, ok = at, true
 		}
--- a/internal/decide/batchscheduler/selection.go
+++ b/internal/decide/batchscheduler/selection.go
@@ -8,9 +8,9 @@
 	return b.nextUnsent < len(b.sendOrder) || b.hasDueRetry(now)
 }
 
-// hasDueRetry reports whether the backoff of a line has ended.
+// hasDueRetry reports whether the backoff of a line has ended and the line may be sent again.
 func (b *batchRecord) hasDueRetry(now Nanos) bool {
-	return b.retries.Len() > 0 && b.retries.Min().retryAt <= now
+	return b.retries.Len() > 0 && b.retries.Min().retryAt <= now && b.mayAttempt(now, b.retries.Min())
 }
 
 // requiredRate returns the cost per nanosecond that the batch needs to meet its deadline.
@@ -22,7 +22,7 @@
 func (b *batchRecord) takeLine(now Nanos) *lineRecord {
 	if b.hasDueRetry(now) {
 		line := b.retries.Min()
-		b.retries.Remove(line)
+		b.removeRetry(line)
 		return line
 	}
 	index := b.sendOrder[b.nextUnsent]
@@ -47,7 +47,7 @@
 		return 0, 0, false
 	}
 	line := next.takeLine(now)
-	line.State = LineInFlight
+	line.State, line.sentAt = LineInFlight, now
 	next.waiting--
 	next.inFlight++
 	s.inFlight++
