batchrunner: a rejected line waits on disk too

Before: TestRejectedLineIsResumed fails for both classes ('after 10 s line 0 is in_flight on disk, want waiting'). Callers read may_have_run after a restart, and the line was not sent, though it never ran. Cause: handleResult took the mark back only if the record read before marking was not waiting, which at a first attempt it always was. Why it works: sendLine, which writes the mark, stores a rejected line as waiting before the scheduler learns of it, and tries until that is stored; errors that are about the records themselves end the tries.

--- a/internal/batchrunner/resume.go
+++ b/internal/batchrunner/resume.go
@@ -148,7 +148,7 @@
 	defer r.mu.Unlock()
 	r.lastBatchID++
 	remaining := time.Until(time.Unix(b.ExpiresUnix, 0))
-	a := &activeBatch{id: r.lastBatchID, record: b, runnerCtx: ctx}
+	a := &activeBatch{id: r.lastBatchID, record: b, class: recovered.class, runnerCtx: ctx}
 	a.ctx, a.cancel = context.WithDeadline(ctx, time.Now().Add(remaining))
 	err := r.scheduler.AddBatch(batchscheduler.Batch{
 		ID:                  a.id,
--- a/internal/batchrunner/runner.go
+++ b/internal/batchrunner/runner.go
@@ -75,10 +75,11 @@
 }
 
 // activeBatch is a batch that the scheduler holds. Runner.mu guards its fields except record.ID, record.Tenant,
-// record.InputFileID, id and the contexts, which do not change.
+// record.InputFileID, id, class and the contexts, which do not change.
 type activeBatch struct {
 	id           batchscheduler.BatchID
 	record       batchstore.Batch
+	class        Class              // of all lines
 	ctx          context.Context    // of its requests; ends on cancellation and at the deadline
 	cancel       context.CancelFunc // ends ctx
 	runnerCtx    context.Context    // if it ends, unfinished lines are left to the next process
--- a/internal/batchrunner/runner_test.go
+++ b/internal/batchrunner/runner_test.go
@@ -206,6 +206,23 @@
 	}
 }
 
+// waitForLine waits until a line of a batch is stored in a state.
+func (f *fixture) waitForLine(id string, index batchscheduler.LineIndex, state batchscheduler.LineState) {
+	f.t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(2 * time.Millisecond) {
+		line, err := f.store.Line(id, index)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if line.State == state {
+			return
+		}
+		if time.Now().After(deadline) {
+			f.t.Fatalf("after 10 s line %d is %v on disk, want %v", index, line.State, state)
+		}
+	}
+}
+
 func isTerminal(b batchstore.Batch) bool { return b.State.IsTerminal() }
 
 // describe returns a batch's state, counts, validation errors and files and the received requests as text, with IDs
@@ -357,6 +374,27 @@
 	}
 }
 
+// TestRejectedLineIsResumed guards against a line that is reported as one that may have run after a restart, although
+// its only attempt was rejected.
+func TestRejectedLineIsResumed(t *testing.T) {
+	for _, model := range []string{"book", "labelled"} {
+		t.Run(model, func(t *testing.T) {
+			dir := t.TempDir()
+			f := newFixture(t, dir)
+			b := f.submit(line("one", model, "later", ""), time.Hour)
+			f.dispatcher.waitForAttempt(t, b.ID+"/one")
+			f.waitForLine(b.ID, 0, batchscheduler.LineWaiting)
+			f.stop()
+
+			next := newFixture(t, dir)
+			next.dispatcher.waitForAttempt(t, b.ID+"/one")
+			if b = next.waitFor(b.ID, func(batchstore.Batch) bool { return true }); b.FailedLines != 0 {
+				t.Error("the line has failed, want it waiting")
+			}
+		})
+	}
+}
+
 // TestResume checks that a batch in progress when its runner stopped is resumed by the next runner: an idempotent line
 // is sent again, and a non-idempotent line that may have run fails.
 func TestResume(t *testing.T) {
--- a/internal/batchrunner/send.go
+++ b/internal/batchrunner/send.go
@@ -46,19 +46,29 @@
 		})
 		return
 	}
-	class := r.config.Classes[request.Body.Model]
-	if class.Idempotency != batchscheduler.Idempotent { // a later resume must know that the line may have run
-		if err := r.store.SetLineState(a.record.ID, index, batchscheduler.LineInFlight); err != nil {
-			r.log.Error("line not sent", "batch_id", a.record.ID, "line", index+1, "error", err)
-			r.handleResult(a, index, line, attemptResult{
-				outcome: batchscheduler.OutcomeRejected, retryAfter: storeRetryInterval,
-			})
-			return
-		}
+	if !a.class.marksAttempts() {
+		r.handleResult(a, index, line, r.generate(a, index, request))
+		return
 	}
-	r.handleResult(a, index, line, r.generate(a, index, request, class))
+	result := attemptResult{outcome: batchscheduler.OutcomeRejected, retryAfter: storeRetryInterval}
+	err = r.store.SetLineState(a.record.ID, index, batchscheduler.LineInFlight)
+	if err == nil {
+		result = r.generate(a, index, request)
+	} else {
+		r.log.Error("line not sent", "batch_id", a.record.ID, "line", index+1, "error", err)
+	}
+	if result.outcome == batchscheduler.OutcomeRejected {
+		_ = r.storeUntilDone(a, func() error {
+			return r.store.SetLineState(a.record.ID, index, batchscheduler.LineWaiting)
+		})
+	}
+	r.handleResult(a, index, line, result)
 }
 
+// marksAttempts reports whether a line is stored as in flight before its request is sent, because a later process must
+// know that the line may have run.
+func (c Class) marksAttempts() bool { return c.Idempotency != batchscheduler.Idempotent }
+
 // readLine reads a line's record and request. If only the request cannot be read, the line is valid despite the error.
 func (r *Runner) readLine(a *activeBatch, index batchscheduler.LineIndex) (batchstore.Line, *lineRequest, error) {
 	line, err := r.store.Line(a.record.ID, index)
@@ -75,9 +85,9 @@
 
 // generate sends a request to the dispatcher and returns the result of the attempt.
 func (r *Runner) generate(
-	a *activeBatch, index batchscheduler.LineIndex, request *lineRequest, class Class,
+	a *activeBatch, index batchscheduler.LineIndex, request *lineRequest,
 ) attemptResult {
-	timeout, ok := r.attemptTimeout(a, index, class)
+	timeout, ok := r.attemptTimeout(a, index)
 	if !ok {
 		return attemptResult{outcome: batchscheduler.OutcomeRejected} // which ends the line, as it may have run before
 	}
@@ -109,10 +119,10 @@
 
 // attemptTimeout returns the timeout of an attempt that begins now, or false if it may not begin any more.
 func (r *Runner) attemptTimeout(
-	a *activeBatch, index batchscheduler.LineIndex, class Class,
+	a *activeBatch, index batchscheduler.LineIndex,
 ) (timeout time.Duration, ok bool) {
 	batchDeadline, _ := a.ctx.Deadline()
-	timeout = min(class.Timeout, time.Until(batchDeadline))
+	timeout = min(a.class.Timeout, time.Until(batchDeadline))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if repeatDeadline, ok := r.scheduler.RepeatDeadline(a.id, index); ok {
@@ -202,17 +212,11 @@
 	isStopping := a.runnerCtx.Err() != nil && !isCancelled && !a.expired
 	r.mu.Unlock()
 
-	switch {
-	case verdict == batchscheduler.VerdictFailed && !isStopping: // after a stop the next process resumes the line
+	if verdict == batchscheduler.VerdictFailed && !isStopping { // after a stop the next process resumes the line
 		text := encodeAttemptFailure(a.record.ID, index, line.CustomID, result, reason, isCancelled)
 		if err := r.store.RecordResult(a.record.ID, index, batchstore.ResultFailed, text); err != nil {
 			r.log.Error("line failure not stored", "batch_id", a.record.ID, "line", index+1, "error", err)
 		}
-	case verdict == batchscheduler.VerdictRetry && result.outcome == batchscheduler.OutcomeRejected &&
-		line.State != batchscheduler.LineWaiting:
-		if err := r.store.SetLineState(a.record.ID, index, batchscheduler.LineWaiting); err != nil {
-			r.log.Error("line state not stored", "batch_id", a.record.ID, "line", index+1, "error", err)
-		}
 	}
 	r.endStored(a)
 }
--- a/internal/batchrunner/storeend.go
+++ b/internal/batchrunner/storeend.go
@@ -6,6 +6,7 @@
 
 	"docksail/internal/decide/batchscheduler"
 	"docksail/internal/state/batchstore"
+	"docksail/internal/state/recordstore"
 )
 
 // storeRetryInterval is the wait before a change that could not be stored is tried again.
@@ -17,30 +18,36 @@
 		reason := string(batchscheduler.ReasonDeduplicationExpired)
 		return encodeFailure(a.record.ID, index, line.CustomID, codeMayHaveRun, reason)
 	}
-	r.storeUntilDone(a, func() error { return r.store.FailLines(a.record.ID, lines, failureText) })
+	_ = r.storeUntilDone(a, func() error { return r.store.FailLines(a.record.ID, lines, failureText) })
 	r.endStored(a)
 }
 
-// storeUntilDone calls store until it succeeds, the batch has ended or the runner stops. It reports whether store has
-// succeeded.
-func (r *Runner) storeUntilDone(a *activeBatch, store func() error) bool {
+// storeUntilDone calls store until it succeeds, no later call can or the runner stops. It returns the last error.
+func (r *Runner) storeUntilDone(a *activeBatch, store func() error) error {
 	for {
 		err := store()
 		if err == nil {
-			return true
+			return nil
 		}
 		r.log.Error("end of lines not stored", "batch_id", a.record.ID, "error", err)
-		if errors.Is(err, batchstore.ErrInvalidState) {
-			return false
+		if isPermanent(err) {
+			return err
 		}
 		select {
 		case <-time.After(storeRetryInterval):
 		case <-a.runnerCtx.Done():
-			return false
+			return err
 		}
 	}
 }
 
+// isPermanent reports whether an error of the store is about the records themselves, so that no later call succeeds.
+func isPermanent(err error) bool {
+	_, isCorrupt := errors.AsType[*recordstore.CorruptRecordError](err)
+	return isCorrupt || errors.Is(err, batchstore.ErrCorrupt) || errors.Is(err, batchstore.ErrInvalidState) ||
+		errors.Is(err, batchstore.ErrNotFound) || errors.Is(err, recordstore.ErrNotFound)
+}
+
 // endStored counts an end as stored and makes Run check whether the batch has ended.
 func (r *Runner) endStored(a *activeBatch) {
 	r.mu.Lock()
