batchrunner: attempts that may have run are remembered over a restart

Cause: the record of a line has its state alone; RecoverLine knew neither time nor count. Why it works: count and start of the first attempt are stored with the mark 'in flight' in one change. The start is on the kernel's clock since the boot with the boot's ID, which is never stepped and comparable between processes; where it is not (another boot, an older record), the line fails as may_have_run.

Measured: with the stored attempts ignored TestResumeAfterWindow (after the window, booted in between) and TestResumeCountsAttempts (both classes) fail; TestEveryLineEndsOnce now models the store and the window.

--- a/internal/batchrunner/resume.go
+++ b/internal/batchrunner/resume.go
@@ -84,11 +84,32 @@
 	l.lines = append(l.lines, batchscheduler.LineSpec{State: batchscheduler.LineFailed})
 }
 
+// add adds a line whose record could be read.
+func (l *recoveredLines) add(
+	now batchscheduler.Nanos, index batchscheduler.LineIndex, line batchstore.Line, stored batchscheduler.StoredLine,
+) {
+	window := int64(l.class.DeduplicationWindow)
+	state, attempts, reason := batchscheduler.RecoverLine(now, stored, l.class.Idempotency, window)
+	switch {
+	case reason == batchscheduler.ReasonTooManyAttempts:
+		l.failures = append(l.failures, lineFailure{index, line.CustomID, codeConnectionLost, string(reason)})
+	case reason != "":
+		l.failures = append(l.failures, lineFailure{index, line.CustomID, codeMayHaveRun, string(reason)})
+	case state != line.State:
+		l.retried++
+	}
+	l.lines = append(l.lines, batchscheduler.LineSpec{
+		Cost: float64(line.Cost), PrefixGroup: line.PrefixGroup, State: state, Attempts: attempts,
+	})
+}
+
 // recoverLines reads the lines of a batch. Lines whose records are corrupt or missing fail, as do lines that may have
 // run and must not run twice.
 func (r *Runner) recoverLines(b batchstore.Batch) (recoveredLines, error) {
 	var recovered recoveredLines
 	className := ""
+	bootNow := r.config.BootClock()
+	now := r.now()
 	err := r.store.ForEachLine(b.ID, func(index batchscheduler.LineIndex, line batchstore.Line, corrupt error) error {
 		for int(index) > len(recovered.lines) {
 			missing := batchscheduler.LineIndex(len(recovered.lines))
@@ -102,17 +123,7 @@
 			className = r.readClassName(b, index, line)
 			recovered.class = r.config.Classes[className]
 		}
-		state, mayHaveRun := batchscheduler.RecoverLine(line.State, recovered.class.Idempotency)
-		if mayHaveRun {
-			recovered.failures = append(recovered.failures, lineFailure{
-				index, line.CustomID, codeMayHaveRun, string(batchscheduler.ReasonMayHaveRun),
-			})
-		} else if state != line.State {
-			recovered.retried++
-		}
-		recovered.lines = append(recovered.lines, batchscheduler.LineSpec{
-			Cost: float64(line.Cost), PrefixGroup: line.PrefixGroup, State: state,
-		})
+		recovered.add(now, index, line, storedLine(line, now, bootNow))
 		return nil
 	})
 	return recovered, err
--- a/internal/batchrunner/runner.go
+++ b/internal/batchrunner/runner.go
@@ -15,6 +15,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	pb "docksail/api/docksail/v1"
+	"docksail/internal/bootclock"
 	"docksail/internal/decide/batchscheduler"
 	"docksail/internal/state/batchstore"
 )
@@ -50,7 +51,8 @@
 	InitialBackoff    time.Duration // of a line after its first attempt
 	MaxLines          int           // of an input file
 	MaxLineBytes      int
-	Seed              uint64 // of the jitter of backoffs
+	Seed              uint64          // of the jitter of backoffs
+	BootClock         bootclock.Clock // nil = bootclock.Now
 }
 
 // Runner runs the batches of a store. Batches make progress only during a call of Run. Its methods may be called
@@ -93,6 +95,9 @@
 	if len(config.Tenants) == 0 {
 		config.Tenants = []Tenant{{Weight: 1}}
 	}
+	if config.BootClock == nil {
+		config.BootClock = bootclock.Now
+	}
 	tenants := map[string]int{}
 	var weights []float64
 	for i, t := range config.Tenants {
--- a/internal/batchrunner/runner_test.go
+++ b/internal/batchrunner/runner_test.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/encoding/prototext"
 
 	pb "docksail/api/docksail/v1"
+	"docksail/internal/bootclock"
 	"docksail/internal/decide/batchscheduler"
 	"docksail/internal/state/batchstore"
 )
@@ -69,9 +70,9 @@
 		return status.Error(codes.Aborted, "no server answered")
 	case behaviour == "invalid":
 		return status.Error(codes.InvalidArgument, "prompt too long")
-	case behaviour == "lost":
+	case behaviour == "lost" || behaviour == "lost," && attempt == 1:
 		return status.Error(codes.Unavailable, "connection reset")
-	case behaviour == "hangs":
+	case behaviour == "hangs" || behaviour == "lost,":
 		<-stream.Context().Done()
 		return stream.Context().Err()
 	}
@@ -103,6 +104,16 @@
 	}
 }
 
+// testClock is the boot clock of a process.
+type testClock struct {
+	bootID string
+	offset time.Duration // from the system's clock
+}
+
+func (c testClock) now() bootclock.Instant {
+	return bootclock.Instant{BootID: c.bootID, SinceBoot: bootclock.Now().SinceBoot + c.offset}
+}
+
 // fixture is a store, a runner over it and the dispatcher that the runner sends to.
 type fixture struct {
 	t          *testing.T
@@ -124,6 +135,12 @@
 
 // newIdleFixture returns a fixture whose runner has not been started.
 func newIdleFixture(t *testing.T, dir string) *fixture {
+	t.Helper()
+	return newFixtureAt(t, dir, testClock{bootID: "boot"})
+}
+
+// newFixtureAt returns a fixture with a boot clock, whose runner has not been started.
+func newFixtureAt(t *testing.T, dir string, clock testClock) *fixture {
 	t.Helper()
 	store, err := batchstore.Open(dir, 0)
 	if err != nil {
@@ -148,6 +165,7 @@
 			"online":   {},
 		},
 		MaxLinesInFlight: 8, InitialBackoff: 2 * time.Millisecond, MaxLines: 20, MaxLineBytes: 1000, Seed: 1,
+		BootClock: clock.now,
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -395,6 +413,68 @@
 	}
 }
 
+// TestResumeAfterWindow guards against a deduplicated line that was in flight when its process ended and is sent again
+// although its window is over, or may be.
+func TestResumeAfterWindow(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		next   testClock
+		isSent bool
+	}{
+		{"within the window", testClock{bootID: "boot"}, true},
+		{"after the window", testClock{bootID: "boot", offset: time.Minute}, false},
+		{"booted in between", testClock{bootID: "other"}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			f := newFixture(t, dir)
+			b := f.submit(line("one", "labelled", "hangs", ""), time.Hour)
+			f.dispatcher.waitForAttempt(t, b.ID+"/one")
+			f.stop()
+
+			next := newFixtureAt(t, dir, c.next)
+			next.run()
+			if c.isSent {
+				next.dispatcher.waitForAttempt(t, b.ID+"/one")
+				return
+			}
+			text := next.describe(next.waitFor(b.ID, isTerminal))
+			if !strings.Contains(text, `"code":"may_have_run"`) || next.dispatcher.attemptCount(b.ID+"/one") > 0 {
+				t.Errorf("want the line failed as may_have_run and not sent: %s", text)
+			}
+		})
+	}
+}
+
+// TestResumeCountsAttempts guards against a count of the attempts that may have run that begins anew in each process.
+// In each process the first attempt is lost and the second one hangs until the process ends.
+func TestResumeCountsAttempts(t *testing.T) {
+	for _, c := range []struct {
+		model     string
+		processes int // until the line has had four attempts that may have run
+	}{
+		{"draft", 4}, // of an idempotent line those are not counted that a stop ends
+		{"labelled", 3},
+	} {
+		t.Run(c.model, func(t *testing.T) {
+			dir := t.TempDir()
+			f := newFixture(t, dir)
+			b := f.submit(line("one", c.model, "lost, then hangs", ""), time.Hour)
+			for range c.processes - 1 {
+				f.waitFor(b.ID, func(b batchstore.Batch) bool {
+					return isTerminal(b) || f.dispatcher.attemptCount(b.ID+"/one") == 2
+				})
+				f.stop()
+				f = newFixture(t, dir)
+			}
+			text := f.describe(f.waitFor(b.ID, isTerminal))
+			if !strings.Contains(text, string(batchscheduler.ReasonTooManyAttempts)) {
+				t.Errorf("want the line failed after four attempts: %s", text)
+			}
+		})
+	}
+}
+
 // TestResume checks that a batch in progress when its runner stopped is resumed by the next runner: an idempotent line
 // is sent again, and a non-idempotent line that may have run fails.
 func TestResume(t *testing.T) {
--- a/internal/batchrunner/send.go
+++ b/internal/batchrunner/send.go
@@ -47,28 +47,26 @@
 		return
 	}
 	if !a.class.marksAttempts() {
-		r.handleResult(a, index, line, r.generate(a, index, request))
+		result := r.generate(a, index, request)
+		if result.outcome.MayHaveRun() && a.runnerCtx.Err() == nil { // a stop is not the line's fault
+			r.storeWaiting(a, index, r.attemptsInFlight(a, index))
+		}
+		r.handleResult(a, index, line, result)
 		return
 	}
 	result := attemptResult{outcome: batchscheduler.OutcomeRejected, retryAfter: storeRetryInterval}
-	err = r.store.SetLineState(a.record.ID, index, batchscheduler.LineInFlight)
+	err = r.store.SetLineState(a.record.ID, index, batchscheduler.LineInFlight, r.attemptsInFlight(a, index))
 	if err == nil {
 		result = r.generate(a, index, request)
 	} else {
 		r.log.Error("line not sent", "batch_id", a.record.ID, "line", index+1, "error", err)
 	}
 	if result.outcome == batchscheduler.OutcomeRejected {
-		_ = r.storeUntilDone(a, func() error {
-			return r.store.SetLineState(a.record.ID, index, batchscheduler.LineWaiting)
-		})
+		r.storeWaiting(a, index, line.Attempts)
 	}
 	r.handleResult(a, index, line, result)
 }
 
-// marksAttempts reports whether a line is stored as in flight before its request is sent, because a later process must
-// know that the line may have run.
-func (c Class) marksAttempts() bool { return c.Idempotency != batchscheduler.Idempotent }
-
 // readLine reads a line's record and request. If only the request cannot be read, the line is valid despite the error.
 func (r *Runner) readLine(a *activeBatch, index batchscheduler.LineIndex) (batchstore.Line, *lineRequest, error) {
 	line, err := r.store.Line(a.record.ID, index)
--- a/internal/decide/batchscheduler/outcome.go
+++ b/internal/decide/batchscheduler/outcome.go
@@ -16,8 +16,8 @@
 	OutcomeInvalid
 )
 
-// mayHaveRun reports whether the request may have run although no response came.
-func (o Outcome) mayHaveRun() bool { return o == OutcomeFailed || o == OutcomeConnectionLost }
+// MayHaveRun reports whether the request may have run although no response came.
+func (o Outcome) MayHaveRun() bool { return o == OutcomeFailed || o == OutcomeConnectionLost }
 
 // Verdict says what becomes of a line whose attempt has ended.
 type Verdict uint8
@@ -72,7 +72,7 @@
 	line := &b.lines[index]
 	b.inFlight--
 	s.inFlight--
-	if outcome.mayHaveRun() {
+	if outcome.MayHaveRun() {
 		line.countUncertainAttempt()
 	}
 	if outcome == OutcomeServed {
@@ -123,7 +123,7 @@
 		return ReasonInvalidRequest
 	case b.stopped || now >= b.Deadline:
 		return ReasonWindowExpired
-	case line.uncertainAttempts >= maxUncertainAttempts:
+	case line.Attempts.Count >= maxUncertainAttempts:
 		return ReasonTooManyAttempts
 	}
 	return ""
@@ -133,7 +133,7 @@
 func (s *Scheduler) backoff(line *lineRecord, retryAfter Nanos) Nanos {
 	initial := float64(s.initialBackoff)
 	wait := initial
-	attempts := int(line.uncertainAttempts) + int(line.rejections)
+	attempts := int(line.Attempts.Count) + int(line.rejections)
 	for range attempts - 1 {
 		wait = min(wait*backoffFactor, maxBackoffMultiple*initial)
 	}
--- /dev/null
+++ b/internal/decide/batchscheduler/recovery.go
@@ -0,0 +1,41 @@
+package batchscheduler
+
+// StoredLine is what is stored of a line when its batch is resumed after a restart.
+type StoredLine struct {
+	State          LineState
+	Attempts       UncertainAttempts // including one in flight
+	FirstAtUnknown bool              // Attempts.FirstAt is not known
+}
+
+// RecoverLine returns the state and attempts of a stored line after a restart at time now. The process that sent a line
+// in flight has ended, and the attempt with it. The line waits again unless its repetition may do harm or it had all
+// its attempts; then it has failed for the returned reason.
+func RecoverLine(
+	now Nanos, line StoredLine, idempotency Idempotency, window Nanos,
+) (LineState, UncertainAttempts, FailureReason) {
+	attempts := line.Attempts
+	if line.State == LineInFlight && attempts.Count == 0 { // in flight for an idempotent class or an older program
+		attempts.Count, line.FirstAtUnknown = 1, true
+	}
+	if line.State == LineCompleted || line.State == LineFailed || attempts.Count == 0 {
+		return line.State, attempts, ""
+	}
+	record := lineRecord{LineSpec: LineSpec{Attempts: attempts}}
+	batch := batchRecord{Batch: Batch{Idempotency: idempotency, DeduplicationWindow: window}}
+	switch {
+	case idempotency == NonIdempotent:
+		return LineFailed, attempts, ReasonMayHaveRun
+	case idempotency == Deduplicated && (line.FirstAtUnknown || !batch.mayAttempt(now, &record)):
+		return LineFailed, attempts, ReasonDeduplicationExpired
+	case attempts.Count >= maxUncertainAttempts:
+		return LineFailed, attempts, ReasonTooManyAttempts
+	}
+	return LineWaiting, attempts, ""
+}
+
+// AttemptsInFlight returns the attempts of a line in flight that may have run if the attempt in flight does.
+func (s *Scheduler) AttemptsInFlight(id BatchID, index LineIndex) UncertainAttempts {
+	line := s.byID[id].lines[index]
+	line.countUncertainAttempt()
+	return line.Attempts
+}
--- a/internal/decide/batchscheduler/repeats.go
+++ b/internal/decide/batchscheduler/repeats.go
@@ -6,15 +6,15 @@
 
 // countUncertainAttempt counts the latest attempt as one that may have run.
 func (l *lineRecord) countUncertainAttempt() {
-	if l.uncertainAttempts == 0 {
-		l.firstUncertainAt = l.sentAt
+	if l.Attempts.Count == 0 {
+		l.Attempts.FirstAt = l.sentAt
 	}
-	l.uncertainAttempts++
+	l.Attempts.Count++
 }
 
 // mayHaveRunOnce reports whether a line whose repetition may do harm may have run.
 func (b *batchRecord) mayHaveRunOnce(line *lineRecord) bool {
-	return line.uncertainAttempts > 0 && b.Idempotency != Idempotent
+	return line.Attempts.Count > 0 && b.Idempotency != Idempotent
 }
 
 // mayAttempt reports whether an attempt of the line may begin at a time: the line cannot have run, it is idempotent, or
@@ -28,7 +28,7 @@
 
 // repeatDeadline returns the time before which an attempt of a deduplicated line that may have run must begin.
 func (b *batchRecord) repeatDeadline(line *lineRecord) Nanos {
-	return line.firstUncertainAt + b.DeduplicationWindow - repeatMargin
+	return line.Attempts.FirstAt + b.DeduplicationWindow - repeatMargin
 }
 
 // addRetry makes a line wait for another attempt.
--- a/internal/decide/batchscheduler/scheduler.go
+++ b/internal/decide/batchscheduler/scheduler.go
@@ -36,6 +36,13 @@
 	Cost        float64 // in prompt tokens or their equivalent
 	PrefixGroup uint64  // lines of a group share a prompt prefix and are sent consecutively; 0 = no group
 	State       LineState
+	Attempts    UncertainAttempts
+}
+
+// UncertainAttempts describes the attempts of a line that may have run.
+type UncertainAttempts struct {
+	Count   uint8
+	FirstAt Nanos // start of the first, if Count is above 0
 }
 
 // completionHistory is the number of recent line completions from which Forecast computes the rate of a batch.
@@ -44,14 +51,12 @@
 // lineRecord is a line with the history of its attempts.
 type lineRecord struct {
 	LineSpec
-	index             LineIndex
-	uncertainAttempts uint8 // attempts that may have run
-	rejections        uint8 // at most maxBackoffSteps
-	sentAt            Nanos // start of the latest attempt
-	firstUncertainAt  Nanos // start of the first attempt that may have run, if uncertainAttempts is above 0
-	retryAt           Nanos
-	retryIndex        int // index in batchRecord.retries
-	repeatIndex       int // index in batchRecord.repeats
+	index       LineIndex
+	rejections  uint8 // at most maxBackoffSteps
+	sentAt      Nanos // start of the latest attempt
+	retryAt     Nanos
+	retryIndex  int // index in batchRecord.retries
+	repeatIndex int // index in batchRecord.repeats
 }
 
 // batchRecord is a batch with the state of its lines.
@@ -107,8 +112,8 @@
 	return s, nil
 }
 
-// AddBatch adds a batch; NextLine then returns its waiting lines. Lines that were in flight before a restart must have
-// the state that RecoverLine returns.
+// AddBatch adds a batch; NextLine then returns its waiting lines. Lines of an earlier process must be as RecoverLine
+// returns them.
 func (s *Scheduler) AddBatch(b Batch) error {
 	if s.byID[b.ID] != nil || b.Tenant < 0 || b.Tenant >= len(s.tenants) {
 		return fmt.Errorf("batch %d: the ID is in use or tenant %d is not in 0 to %d", b.ID, b.Tenant, len(s.tenants)-1)
@@ -133,7 +138,7 @@
 		},
 		repeats: indexedheap.Heap[*lineRecord]{
 			Index: func(l *lineRecord) *int { return &l.repeatIndex },
-			Less:  func(a, b *lineRecord) bool { return a.firstUncertainAt < b.firstUncertainAt },
+			Less:  func(a, b *lineRecord) bool { return a.Attempts.FirstAt < b.Attempts.FirstAt },
 		},
 	}
 	for i, line := range b.Lines {
@@ -141,11 +146,16 @@
 			return nil, fmt.Errorf("batch %d: line %d is in flight, its state was not recovered by RecoverLine", b.ID, i)
 		}
 		record.lines[i].LineSpec, record.lines[i].index = line, LineIndex(i)
-		if line.State == LineWaiting {
-			record.sendOrder = append(record.sendOrder, LineIndex(i))
-			record.waiting++
-			record.remainingCost += line.Cost
+		if line.State != LineWaiting {
+			continue
+		}
+		record.remainingCost += line.Cost
+		if line.Attempts.Count > 0 {
+			record.addRetry(&record.lines[i], 0)
+			continue
 		}
+		record.sendOrder = append(record.sendOrder, LineIndex(i))
+		record.waiting++
 	}
 	sortByPrefixGroup(record.sendOrder, b.Lines)
 	record.Lines = nil
--- a/internal/decide/batchscheduler/scheduler_test.go
+++ b/internal/decide/batchscheduler/scheduler_test.go
@@ -36,8 +36,8 @@
 	return lines
 }
 
-// TestEveryLineEndsOnce checks under random outcomes and restarts that each line ends once, and that a non-idempotent
-// line that may have run is not sent again.
+// TestEveryLineEndsOnce checks under random outcomes and restarts that each line ends once, that a non-idempotent line
+// that may have run is not sent again, and a deduplicated one within its window only.
 func TestEveryLineEndsOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		idempotency := Idempotency(rapid.IntRange(0, 2).Draw(rt, "idempotency"))
@@ -50,25 +50,39 @@
 		if err := s.AddBatch(b); err != nil {
 			rt.Fatal(err)
 		}
-		stored := make([]LineState, n) // stands in for the store
+		stored := make([]StoredLine, n) // stands in for the store
 		mayHaveRun := make([]bool, n)
+		sentAt := make([]Nanos, n)
+		firstRunAt := make([]Nanos, n) // start of the first attempt that may have run
 		ended := make([]int, n)
 		var inFlight []LineIndex
 		now := Nanos(1)
 		finish := func(l LineIndex, state LineState) {
-			stored[l] = state
+			stored[l].State = state
 			ended[l]++
 		}
+		countRun := func(l LineIndex) {
+			if !mayHaveRun[l] {
+				mayHaveRun[l], firstRunAt[l] = true, sentAt[l]
+			}
+		}
 		for range 4000 {
 			now += rapid.Int64Range(0, second/2).Draw(rt, "elapsed")
 			s.ExpireNext(now)
+			for _, l, ok := s.ExpireNextLine(now); ok; _, l, ok = s.ExpireNextLine(now) {
+				finish(l, LineFailed)
+			}
 			switch action := rapid.IntRange(0, 19).Draw(rt, "action"); {
 			case action < 10:
 				if _, l, ok := s.NextLine(now); ok {
 					if idempotency == NonIdempotent && mayHaveRun[l] {
 						rt.Fatalf("line %d is sent again although it may have run", l)
 					}
-					stored[l] = LineInFlight
+					if idempotency == Deduplicated && mayHaveRun[l] && now >= firstRunAt[l]+b.DeduplicationWindow {
+						rt.Fatalf("line %d is sent again %d ms after it may have run", l, (now-firstRunAt[l])/1e6)
+					}
+					sentAt[l] = now
+					stored[l] = StoredLine{State: LineInFlight, Attempts: s.AttemptsInFlight(7, l)}
 					inFlight = append(inFlight, l)
 				}
 			case action < 19:
@@ -78,8 +92,10 @@
 				l := inFlight[0]
 				inFlight = inFlight[1:]
 				outcome := Outcome(rapid.IntRange(0, 4).Draw(rt, "outcome"))
-				if outcome == OutcomeFailed || outcome == OutcomeConnectionLost {
-					mayHaveRun[l] = true
+				if outcome.MayHaveRun() {
+					countRun(l)
+				} else {
+					stored[l] = StoredLine{State: LineWaiting, Attempts: s.byID[7].lines[l].Attempts}
 				}
 				switch verdict, reason := s.ReportOutcome(now, 7, l, outcome, 0); {
 				case verdict == VerdictCompleted:
@@ -87,19 +103,22 @@
 				case verdict == VerdictFailed && reason != "":
 					finish(l, LineFailed)
 				case verdict == VerdictRetry:
-					stored[l] = LineWaiting
 				default:
 					rt.Fatalf("verdict %d without a reason", verdict)
 				}
 			default: // a restart
 				restarted := newScheduler(t, 8, 1)
 				lines := waitingLines(n)
+				for _, l := range inFlight {
+					countRun(l)
+				}
 				for i := range stored {
-					state, failed := RecoverLine(stored[i], idempotency)
-					if failed {
+					state, attempts, failure := RecoverLine(now, stored[i], idempotency, b.DeduplicationWindow)
+					if failure != "" {
 						ended[i]++
 					}
-					stored[i], lines[i].State = state, state
+					stored[i] = StoredLine{State: state, Attempts: attempts}
+					lines[i].State, lines[i].Attempts = state, attempts
 				}
 				b.Lines, inFlight, s = lines, nil, restarted
 				if err := s.AddBatch(b); err != nil {
--- a/internal/decide/batchscheduler/states.go
+++ b/internal/decide/batchscheduler/states.go
@@ -106,16 +106,3 @@
 	}
 	return "unknown"
 }
-
-// RecoverLine returns the state of a stored line after a restart. The process that sent a line in flight has ended, and
-// the attempt with it: the line waits again or, if it is non-idempotent, has failed and mayHaveRun is true.
-func RecoverLine(state LineState, idempotency Idempotency) (recovered LineState, mayHaveRun bool) {
-	switch {
-	case state != LineInFlight:
-		return state, false
-	case idempotency == NonIdempotent:
-		return LineFailed, true
-	default:
-		return LineWaiting, false
-	}
-}
--- a/internal/state/batchstore/batches.go
+++ b/internal/state/batchstore/batches.go
@@ -104,9 +104,11 @@
 	return b, err
 }
 
-// dropLines removes the line and result records of a batch.
+// dropLines removes the records of a batch's lines, of their attempts and of their results.
 func dropLines(tx *recordstore.Tx, batchID string) error {
-	return errors.Join(tx.DropSet(linesSet(batchID)), tx.DropSet(resultsSet(batchID)))
+	return errors.Join(
+		tx.DropSet(linesSet(batchID)), tx.DropSet(attemptsSet(batchID)), tx.DropSet(resultsSet(batchID)),
+	)
 }
 
 // isInUse reports whether a file is the input of a batch that is not in a terminal state.
--- a/internal/state/batchstore/lines.go
+++ b/internal/state/batchstore/lines.go
@@ -19,6 +19,7 @@
 	Cost        float32 // stored as a whole number
 	PrefixGroup uint64  // see batchscheduler.LineSpec
 	CustomID    string  // chosen by the tenant
+	Attempts    Attempts
 }
 
 // lineHeaderBytes is the size of an encoded line without its custom ID: state, offset, length, checksum, cost, group.
@@ -64,10 +65,12 @@
 	if err != nil {
 		return Line{}, err
 	}
-	return decodeLine(encoded)
+	line, err := decodeLine(encoded)
+	line.Attempts = getAttempts(tx, batchID, index)
+	return line, err
 }
 
-// putLine stores a line's record.
+// putLine stores a line's record, without its attempts.
 func putLine(tx *recordstore.Tx, batchID string, index batchscheduler.LineIndex, line Line) error {
 	return tx.Put(linesSet(batchID), lineKey(index), line.encode())
 }
@@ -94,7 +97,7 @@
 }
 
 // ForEachLine calls visit for the lines of a batch in their order and returns visit's first error. For a line whose
-// record is corrupt, corrupt is the error and line is empty.
+// record is corrupt, corrupt is the error and line has only its attempts.
 func (s *Store) ForEachLine(
 	batchID string, visit func(index batchscheduler.LineIndex, line Line, corrupt error) error,
 ) error {
@@ -104,7 +107,9 @@
 			if corrupt == nil {
 				line, corrupt = decodeLine(encoded)
 			}
-			return visit(batchscheduler.LineIndex(binary.BigEndian.Uint32(key)), line, corrupt)
+			index := batchscheduler.LineIndex(binary.BigEndian.Uint32(key))
+			line.Attempts = getAttempts(tx, batchID, index)
+			return visit(index, line, corrupt)
 		})
 	})
 }
@@ -136,9 +141,10 @@
 	return text, nil
 }
 
-// SetLineState stores the state of a line: in flight before its request is sent, waiting after a rejection.
+// SetLineState stores the state of a line and its attempts that may have run: in flight before its request is sent,
+// waiting after an attempt that did not end it.
 func (s *Store) SetLineState(
-	batchID string, index batchscheduler.LineIndex, state batchscheduler.LineState,
+	batchID string, index batchscheduler.LineIndex, state batchscheduler.LineState, attempts Attempts,
 ) error {
 	return s.records.UpdateBatched(func(tx *recordstore.Tx) error {
 		line, err := getLine(tx, batchID, index)
@@ -146,6 +152,9 @@
 			return err
 		}
 		line.State = state
+		if err := putAttempts(tx, batchID, index, attempts); err != nil {
+			return err
+		}
 		return putLine(tx, batchID, index, line)
 	})
 }
--- a/internal/state/batchstore/sample_test.go
+++ b/internal/state/batchstore/sample_test.go
@@ -121,11 +121,11 @@
 	w.check(s.DeleteFile("a", removed.ID))
 
 	running := w.createBatch("a", input.ID, 6)
-	w.check(s.SetLineState(running.ID, 1, batchscheduler.LineInFlight))
+	w.check(s.SetLineState(running.ID, 1, batchscheduler.LineInFlight, Attempts{}))
 	w.recordResult(running, 2, true)
 	w.recordResult(running, 3, false)
-	w.check(s.SetLineState(running.ID, 4, batchscheduler.LineInFlight))
-	w.check(s.SetLineState(running.ID, 4, batchscheduler.LineWaiting))
+	w.check(s.SetLineState(running.ID, 4, batchscheduler.LineInFlight, Attempts{}))
+	w.check(s.SetLineState(running.ID, 4, batchscheduler.LineWaiting, Attempts{}))
 
 	completed := w.createBatch("a", input.ID, 3)
 	for n := range batchscheduler.LineIndex(3) {
--- a/internal/state/batchstore/store_test.go
+++ b/internal/state/batchstore/store_test.go
@@ -103,7 +103,7 @@
 				reopen()
 			case 1:
 				if _, hasResult := firstResults[index]; !hasResult {
-					if err := s.SetLineState(b.ID, index, batchscheduler.LineInFlight); err != nil {
+					if err := s.SetLineState(b.ID, index, batchscheduler.LineInFlight, Attempts{}); err != nil {
 						rt.Fatal(err)
 					}
 				}
