batchrunner: a batch keeps the effect under which its lines are sent

Callers saw an effect twice: a non-idempotent line in flight at the end of a process was sent again if its class had left the settings or had been made idempotent; a real dispatcher calls the former invalid, and the caller reads that it never ran. Cause: resume took the class from the settings alone, a missing one was the zero Class, and Idempotent was the zero value. Why it works: the batch stores class and effect before a line is sent; the stricter of the stored and the configured effect holds and is stored; lines without a configured class are not sent; the zero value is NonIdempotent.

--- a/internal/batchrunner/resume.go
+++ b/internal/batchrunner/resume.go
@@ -36,6 +36,11 @@
 	if err := r.recordFailures(b.ID, recovered.failures); err != nil {
 		return err
 	}
+	if effect := recovered.class.Idempotency.String(); effect != b.Effect {
+		if err := r.store.SetEffect(b.ID, effect); err != nil {
+			return err
+		}
+	}
 	if recovered.retried+len(recovered.failures) > 0 {
 		r.log.Info("batch resumed", "batch_id", b.ID,
 			"lines_retried", recovered.retried, "lines_failed", len(recovered.failures))
@@ -107,7 +112,8 @@
 // run and must not run twice.
 func (r *Runner) recoverLines(b batchstore.Batch) (recoveredLines, error) {
 	var recovered recoveredLines
-	className := ""
+	var effect batchscheduler.BatchEffect
+	hasClass := false
 	bootNow := r.config.BootClock()
 	now := r.now()
 	err := r.store.ForEachLine(b.ID, func(index batchscheduler.LineIndex, line batchstore.Line, corrupt error) error {
@@ -119,9 +125,12 @@
 			recovered.addFailed(lineFailure{index: index, code: codeCorrupt, message: corrupt.Error()})
 			return nil
 		}
-		if className == "" {
-			className = r.readClassName(b, index, line)
-			recovered.class = r.config.Classes[className]
+		if !hasClass {
+			recovered.class, effect = r.resumedClass(b, index, line)
+			hasClass = true
+		}
+		if effect.AnyLineMayHaveRun() && line.State == batchscheduler.LineWaiting {
+			line.State = batchscheduler.LineInFlight
 		}
 		recovered.add(now, index, line, storedLine(line, now, bootNow))
 		return nil
@@ -129,6 +138,23 @@
 	return recovered, err
 }
 
+// resumedClass returns the class of a batch, as its lines are to be sent, and what is known of their effect. line is
+// one of them. If the settings have no such class, its timeout is 0: no line can be sent.
+func (r *Runner) resumedClass(
+	b batchstore.Batch, index batchscheduler.LineIndex, line batchstore.Line,
+) (Class, batchscheduler.BatchEffect) {
+	name := b.Class
+	if name == "" {
+		name = r.readClassName(b, index, line)
+	}
+	var effect batchscheduler.BatchEffect
+	effect.Stored, effect.IsStored = batchscheduler.ParseIdempotency(b.Effect)
+	class, ok := r.config.Classes[name]
+	effect.Configured, effect.IsConfigured = class.Idempotency, ok
+	class.Idempotency = effect.Resumed()
+	return class, effect
+}
+
 // readClassName returns the name of the class that a line requests, or "" if its text cannot be read.
 func (r *Runner) readClassName(b batchstore.Batch, index batchscheduler.LineIndex, line batchstore.Line) string {
 	text, err := r.store.LineText(b.InputFileID, index, line)
--- a/internal/batchrunner/runner_test.go
+++ b/internal/batchrunner/runner_test.go
@@ -136,11 +136,11 @@
 // newIdleFixture returns a fixture whose runner has not been started.
 func newIdleFixture(t *testing.T, dir string) *fixture {
 	t.Helper()
-	return newFixtureAt(t, dir, testClock{bootID: "boot"})
+	return newConfiguredFixture(t, dir, func(*Config) {})
 }
 
-// newFixtureAt returns a fixture with a boot clock, whose runner has not been started.
-func newFixtureAt(t *testing.T, dir string, clock testClock) *fixture {
+// newConfiguredFixture returns a fixture with a changed configuration, whose runner has not been started.
+func newConfiguredFixture(t *testing.T, dir string, change func(*Config)) *fixture {
 	t.Helper()
 	store, err := batchstore.Open(dir, 0)
 	if err != nil {
@@ -155,7 +155,7 @@
 	pb.RegisterGenerationServer(server, dispatcher)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	runner, err := New(store, Config{
+	config := Config{
 		Tenants: []Tenant{{Name: "a", Weight: 1}}, DispatcherAddress: listener.Addr().String(),
 		Classes: map[string]Class{
 			"draft":    {Idempotency: batchscheduler.Idempotent, Timeout: 2 * time.Second},
@@ -165,8 +165,10 @@
 			"online":   {},
 		},
 		MaxLinesInFlight: 8, InitialBackoff: 2 * time.Millisecond, MaxLines: 20, MaxLineBytes: 1000, Seed: 1,
-		BootClock: clock.now,
-	}, slog.New(slog.DiscardHandler))
+		BootClock: testClock{bootID: "boot"}.now,
+	}
+	change(&config)
+	runner, err := New(store, config, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -432,7 +434,7 @@
 			f.dispatcher.waitForAttempt(t, b.ID+"/one")
 			f.stop()
 
-			next := newFixtureAt(t, dir, c.next)
+			next := newConfiguredFixture(t, dir, func(config *Config) { config.BootClock = c.next.now })
 			next.run()
 			if c.isSent {
 				next.dispatcher.waitForAttempt(t, b.ID+"/one")
@@ -446,6 +448,37 @@
 	}
 }
 
+// TestResumeWithOtherClass guards against a line that may have run and is sent again after a restart because its class
+// has left the settings, or because its effect was changed meanwhile.
+func TestResumeWithOtherClass(t *testing.T) {
+	idempotent := Class{Idempotency: batchscheduler.Idempotent, Timeout: 2 * time.Second}
+	book := Class{Idempotency: batchscheduler.NonIdempotent, Timeout: 2 * time.Second}
+	for _, c := range []struct {
+		name, model string
+		next        map[string]Class
+	}{
+		{"non-idempotent class removed", "book", nil},
+		{"deduplicated class removed", "labelled", nil},
+		{"non-idempotent class made idempotent", "book", map[string]Class{"book": idempotent}},
+		{"idempotent class made non-idempotent", "draft", map[string]Class{"draft": book}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			dir := t.TempDir()
+			f := newFixture(t, dir)
+			b := f.submit(line("one", c.model, "hangs", ""), time.Hour)
+			f.dispatcher.waitForAttempt(t, b.ID+"/one")
+			f.stop()
+
+			next := newConfiguredFixture(t, dir, func(config *Config) { config.Classes = c.next })
+			next.run()
+			text := next.describe(next.waitFor(b.ID, isTerminal))
+			if !strings.Contains(text, `"code":"may_have_run"`) || next.dispatcher.attemptCount(b.ID+"/one") > 0 {
+				t.Errorf("want the line failed as may_have_run and not sent: %s", text)
+			}
+		})
+	}
+}
+
 // TestResumeCountsAttempts guards against a count of the attempts that may have run that begins anew in each process.
 // In each process the first attempt is lost and the second one hangs until the process ends.
 func TestResumeCountsAttempts(t *testing.T) {
--- a/internal/batchrunner/send.go
+++ b/internal/batchrunner/send.go
@@ -46,6 +46,12 @@
 		})
 		return
 	}
+	if a.class.Timeout <= 0 {
+		r.handleResult(a, index, line, attemptResult{
+			outcome: batchscheduler.OutcomeInvalid, code: codeInvalidRequest, message: "its class is not configured for batches",
+		})
+		return
+	}
 	if !a.class.marksAttempts() {
 		result := r.generate(a, index, request)
 		if result.outcome.MayHaveRun() && a.runnerCtx.Err() == nil { // a stop is not the line's fault
--- a/internal/batchrunner/validate.go
+++ b/internal/batchrunner/validate.go
@@ -43,6 +43,7 @@
 			b.EndedUnix = time.Now().Unix()
 		} else {
 			b.InProgressUnix = time.Now().Unix()
+			b.Class, b.Effect = v.model, r.config.Classes[v.model].Idempotency.String()
 		}
 	})
 }
--- a/internal/batchservice/service.go
+++ b/internal/batchservice/service.go
@@ -148,10 +148,10 @@
 	switch idempotency {
 	case policy.Deduplicated:
 		return batchscheduler.Deduplicated
-	case policy.NonIdempotent:
-		return batchscheduler.NonIdempotent
-	default:
+	case policy.Idempotent:
 		return batchscheduler.Idempotent
+	default:
+		return batchscheduler.NonIdempotent
 	}
 }
 
--- a/internal/decide/batchscheduler/recorded_test.go
+++ b/internal/decide/batchscheduler/recorded_test.go
@@ -33,6 +33,7 @@
 	}
 	digest := fnv.New64a()
 	record := func(values ...any) { fmt.Fprintln(digest, values...) }
+	effects := []Idempotency{Idempotent, Deduplicated, NonIdempotent}
 	type sentLine struct {
 		id    BatchID
 		index LineIndex
@@ -51,7 +52,7 @@
 				}
 			}
 			record("add", s.AddBatch(Batch{
-				ID: (lastID * 7) % 31, Tenant: rng.IntN(3), Idempotency: Idempotency(rng.IntN(3)), DeduplicationWindow: 3 * second,
+				ID: (lastID * 7) % 31, Tenant: rng.IntN(3), Idempotency: effects[rng.IntN(3)], DeduplicationWindow: 3 * second,
 				Deadline: now + rng.Int64N(200*second), Lines: lines,
 			}) == nil)
 		case action == 1:
--- a/internal/decide/batchscheduler/recovery.go
+++ b/internal/decide/batchscheduler/recovery.go
@@ -1,5 +1,32 @@
 package batchscheduler
 
+// BatchEffect is what is known of the effect of a batch's lines when the batch is resumed.
+type BatchEffect struct {
+	Stored       Idempotency // under which the lines were sent
+	IsStored     bool        // false for batches of an older program
+	Configured   Idempotency // of the class in the settings
+	IsConfigured bool        // false if the settings have no such class any more
+}
+
+// Resumed returns the idempotency under which a batch is resumed: the one that permits less of those that are known.
+func (e BatchEffect) Resumed() Idempotency {
+	switch {
+	case e.IsStored && e.IsConfigured:
+		return min(e.Stored, e.Configured)
+	case e.IsStored:
+		return e.Stored
+	case e.IsConfigured:
+		return e.Configured
+	}
+	return NonIdempotent
+}
+
+// AnyLineMayHaveRun reports whether any waiting line may have run. Lines that were sent as idempotent are not stored as
+// in flight, which matters once their repetition may do harm.
+func (e BatchEffect) AnyLineMayHaveRun() bool {
+	return e.IsStored && e.Stored == Idempotent && e.Resumed() != Idempotent
+}
+
 // StoredLine is what is stored of a line when its batch is resumed after a restart.
 type StoredLine struct {
 	State          LineState
--- a/internal/decide/batchscheduler/scheduler_test.go
+++ b/internal/decide/batchscheduler/scheduler_test.go
@@ -219,7 +219,7 @@
 // requested wait, and that a line fails after maxUncertainAttempts attempts that may have run.
 func TestBackoff(t *testing.T) {
 	s := newScheduler(t, 1, 1)
-	addBatch(t, s, Batch{ID: 1, Deadline: 1000 * second, Lines: waitingLines(1)})
+	addBatch(t, s, Batch{ID: 1, Idempotency: Idempotent, Deadline: 1000 * second, Lines: waitingLines(1)})
 	now := Nanos(1)
 	for i := range 8 {
 		least := second / 10 << min(i, 6)
--- a/internal/decide/batchscheduler/states.go
+++ b/internal/decide/batchscheduler/states.go
@@ -5,18 +5,36 @@
 	"slices"
 )
 
-// Idempotency says whether a request may run more than once.
+// Idempotency says whether a request may run more than once. Its values are ordered: a lower one permits less, and the
+// zero value permits least.
 type Idempotency uint8
 
 const (
-	// Idempotent requests may run repeatedly without harm.
-	Idempotent Idempotency = iota
+	// NonIdempotent requests have a further effect each time they run.
+	NonIdempotent Idempotency = iota
 	// Deduplicated requests run at most once within the dedup window of their idempotency key.
 	Deduplicated
-	// NonIdempotent requests have a further effect each time they run.
-	NonIdempotent
+	// Idempotent requests may run repeatedly without harm.
+	Idempotent
 )
 
+// idempotencyNames are stored with batches.
+var idempotencyNames = []string{NonIdempotent: "non_idempotent", Deduplicated: "deduplicated", Idempotent: "idempotent"}
+
+// String returns the name of i.
+func (i Idempotency) String() string {
+	if int(i) >= len(idempotencyNames) {
+		return "unknown"
+	}
+	return idempotencyNames[i]
+}
+
+// ParseIdempotency returns the idempotency with a name, and false if there is none.
+func ParseIdempotency(name string) (Idempotency, bool) {
+	i := slices.Index(idempotencyNames, name)
+	return Idempotency(max(i, 0)), i >= 0
+}
+
 // BatchState is the state of a batch. Its numeric values are stored; its texts are part of the batch API.
 type BatchState uint8
 
--- a/internal/e2e/batchapiclient_test.go
+++ b/internal/e2e/batchapiclient_test.go
@@ -249,7 +249,7 @@
 		MaxLineBytes:      4096,
 		Seed:              1,
 		Classes: map[string]batchrunner.Class{
-			"question": {Timeout: 2 * time.Second},
+			"question": {Idempotency: batchscheduler.Idempotent, Timeout: 2 * time.Second},
 			"booking":  {Idempotency: batchscheduler.NonIdempotent, Timeout: 2 * time.Second},
 		},
 	}
--- a/internal/state/batchstore/batches.go
+++ b/internal/state/batchstore/batches.go
@@ -32,6 +32,8 @@
 	CancellingUnix   int64                     `json:"cancelling,omitempty"`
 	FinalState       batchscheduler.BatchState `json:"final,omitempty"` // terminal state that FinalizeBatch sets
 	ValidationErrors []ValidationError         `json:"faults,omitempty"`
+	Class            string                    `json:"class,omitempty"`  // of all lines; empty in an older program's batch
+	Effect           string                    `json:"effect,omitempty"` // of the lines, as they are sent
 }
 
 // ValidationError is a reason why a batch's input file was rejected.
@@ -104,6 +106,18 @@
 	return b, err
 }
 
+// SetEffect stores the effect under which the lines of a batch are sent.
+func (s *Store) SetEffect(id, effect string) error {
+	return s.records.Update(func(tx *recordstore.Tx) error {
+		var b Batch
+		if err := getJSON(tx, batchesSet, id, &b); err != nil {
+			return err
+		}
+		b.Effect = effect
+		return putJSON(tx, batchesSet, id, b)
+	})
+}
+
 // dropLines removes the records of a batch's lines, of their attempts and of their results.
 func dropLines(tx *recordstore.Tx, batchID string) error {
 	return errors.Join(
