batchrunner: a call that was never sent does not count as one that may have run

Why it works: such an end is OutcomeNotSent, which is not counted; a line waits for the connection before it is marked and sent, with a bounded reconnect backoff; whether a call left is told by the client's events.

--- a/internal/batchrunner/marks.go
+++ b/internal/batchrunner/marks.go
@@ -12,13 +12,15 @@
 // know that the line may have run.
 func (c Class) marksAttempts() bool { return c.Idempotency != batchscheduler.Idempotent }
 
-// attemptsInFlight returns the attempts of a line in flight to store, with the one in flight.
-func (r *Runner) attemptsInFlight(a *activeBatch, index batchscheduler.LineIndex) batchstore.Attempts {
+// startAttempt records that a line's request is sent now. It returns the attempts to store that may have run once this
+// one does.
+func (r *Runner) startAttempt(a *activeBatch, index batchscheduler.LineIndex) batchstore.Attempts {
 	bootNow := r.config.BootClock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	attempts := r.scheduler.AttemptsInFlight(a.id, index)
-	age := time.Duration(r.now() - attempts.FirstAt)
+	now := r.now()
+	attempts := r.scheduler.StartAttempt(now, a.id, index)
+	age := time.Duration(now - attempts.FirstAt)
 	return batchstore.Attempts{Count: attempts.Count, FirstStart: bootNow.Add(-age)}
 }
 
--- a/internal/batchrunner/runner.go
+++ b/internal/batchrunner/runner.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
 	pb "docksail/api/docksail/v1"
 	"docksail/internal/bootclock"
@@ -23,9 +22,6 @@
 // CompletionsEndpoint is the only supported endpoint of batches and URL of their lines.
 const CompletionsEndpoint = "/v1/completions"
 
-// minConnectTimeout is the minimum time that a connection attempt to the dispatcher is given.
-const minConnectTimeout = time.Second
-
 // randomStream is the second half of the seed of the scheduler's random source, which Config.Seed begins.
 const randomStream = 0x6261746368
 
@@ -111,11 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn, err := grpc.NewClient(
-		config.DispatcherAddress,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: minConnectTimeout}),
-	)
+	conn, err := dialDispatcher(config.DispatcherAddress)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/batchrunner/send.go
+++ b/internal/batchrunner/send.go
@@ -52,22 +52,27 @@
 		})
 		return
 	}
+	if !r.waitForConnection(a.ctx) {
+		r.handleResult(a, index, line, notSent(a.ctx.Err().Error()))
+		return
+	}
+	attempts := r.startAttempt(a, index)
 	if !a.class.marksAttempts() {
 		result := r.generate(a, index, request)
 		if result.outcome.MayHaveRun() && a.runnerCtx.Err() == nil { // a stop is not the line's fault
-			r.storeWaiting(a, index, r.attemptsInFlight(a, index))
+			r.storeWaiting(a, index, attempts)
 		}
 		r.handleResult(a, index, line, result)
 		return
 	}
 	result := attemptResult{outcome: batchscheduler.OutcomeRejected, retryAfter: storeRetryInterval}
-	err = r.store.SetLineState(a.record.ID, index, batchscheduler.LineInFlight, r.attemptsInFlight(a, index))
+	err = r.store.SetLineState(a.record.ID, index, batchscheduler.LineInFlight, attempts)
 	if err == nil {
 		result = r.generate(a, index, request)
 	} else {
 		r.log.Error("line not sent", "batch_id", a.record.ID, "line", index+1, "error", err)
 	}
-	if result.outcome == batchscheduler.OutcomeRejected {
+	if result.outcome.DidNotRun() {
 		r.storeWaiting(a, index, line.Attempts)
 	}
 	r.handleResult(a, index, line, result)
@@ -96,7 +101,7 @@
 		return attemptResult{outcome: batchscheduler.OutcomeRejected} // which ends the line, as it may have run before
 	}
 	body := &request.Body
-	ctx := metadata.AppendToOutgoingContext(a.ctx, backgroundKey, "1")
+	ctx, trace := withCallTrace(metadata.AppendToOutgoingContext(a.ctx, backgroundKey, "1"))
 	stream, err := r.client.Generate(ctx, &pb.GenerateRequest{
 		Track:           body.Model,
 		Tenant:          a.record.Tenant,
@@ -110,11 +115,11 @@
 		PatienceNs:      uint64(timeout),
 	})
 	if err != nil {
-		return failedAttempt(a.ctx, err, nil)
+		return failedAttempt(a.ctx, trace, err, nil)
 	}
 	received, err := receiveAnswer(stream)
 	if err != nil {
-		return failedAttempt(a.ctx, err, stream.Trailer().Get(pushbackKey))
+		return failedAttempt(a.ctx, trace, err, stream.Trailer().Get(pushbackKey))
 	}
 	return attemptResult{
 		outcome: batchscheduler.OutcomeServed, output: encodeAnswer(a.record.ID, index, request, received),
@@ -168,11 +173,18 @@
 	return received, nil
 }
 
+// notSent returns the result of an attempt whose request has certainly not reached the dispatcher.
+func notSent(message string) attemptResult {
+	return attemptResult{outcome: batchscheduler.OutcomeNotSent, code: codeConnectionLost, message: message}
+}
+
 // failedAttempt returns the result of an attempt whose call failed with err. pushback has the values of the trailer
 // that asks the client to retry later.
-func failedAttempt(ctx context.Context, err error, pushback []string) attemptResult {
+func failedAttempt(ctx context.Context, trace *callTrace, err error, pushback []string) attemptResult {
 	call := status.Convert(err)
 	switch code := call.Code(); {
+	case !trace.isSent:
+		return notSent(call.Message())
 	case ctx.Err() != nil && len(pushback) == 0: // Cancel was called, the deadline passed or the runner stopped
 		return attemptResult{
 			outcome: batchscheduler.OutcomeConnectionLost, code: codeInterrupted, message: "called back while it was out",
--- a/internal/decide/batchscheduler/outcome.go
+++ b/internal/decide/batchscheduler/outcome.go
@@ -14,8 +14,13 @@
 	OutcomeConnectionLost
 	// OutcomeInvalid means that the request was rejected as invalid and every retry would be.
 	OutcomeInvalid
+	// OutcomeNotSent means that the request did not reach the dispatcher, so that a retry is safe.
+	OutcomeNotSent
 )
 
+// DidNotRun reports whether the request certainly did not run, although it may in a retry.
+func (o Outcome) DidNotRun() bool { return o == OutcomeRejected || o == OutcomeNotSent }
+
 // MayHaveRun reports whether the request may have run although no response came.
 func (o Outcome) MayHaveRun() bool { return o == OutcomeFailed || o == OutcomeConnectionLost }
 
@@ -46,8 +51,8 @@
 )
 
 const (
-	// maxUncertainAttempts bounds a line's attempts that may have run. Rejected attempts are not counted: they are
-	// retried until the deadline of the batch.
+	// maxUncertainAttempts bounds a line's attempts that may have run. Attempts that did not run are not counted:
+	// they are retried until the deadline of the batch.
 	maxUncertainAttempts = 4
 	// backoffFactor is the ratio of each backoff to the previous one.
 	backoffFactor = 2.0
@@ -83,7 +88,7 @@
 		b.failLine(line)
 		return VerdictFailed, reason
 	}
-	if outcome == OutcomeRejected {
+	if outcome.DidNotRun() {
 		line.rejections = min(line.rejections+1, maxBackoffSteps)
 	}
 	retryAt := now + s.backoff(line, retryAfter)
--- a/internal/decide/batchscheduler/recovery.go
+++ b/internal/decide/batchscheduler/recovery.go
@@ -60,9 +60,12 @@
 	return LineWaiting, attempts, ""
 }
 
-// AttemptsInFlight returns the attempts of a line in flight that may have run if the attempt in flight does.
-func (s *Scheduler) AttemptsInFlight(id BatchID, index LineIndex) UncertainAttempts {
-	line := s.byID[id].lines[index]
-	line.countUncertainAttempt()
-	return line.Attempts
+// StartAttempt records that the request of a line in flight is sent now, which may be later than NextLine returned the
+// line. It returns the attempts that may have run once this one does.
+func (s *Scheduler) StartAttempt(now Nanos, id BatchID, index LineIndex) UncertainAttempts {
+	line := &s.byID[id].lines[index]
+	line.sentAt = now
+	attempts := *line
+	attempts.countUncertainAttempt()
+	return attempts.Attempts
 }
--- a/internal/decide/batchscheduler/scheduler.go
+++ b/internal/decide/batchscheduler/scheduler.go
@@ -52,7 +52,7 @@
 type lineRecord struct {
 	LineSpec
 	index       LineIndex
-	rejections  uint8 // at most maxBackoffSteps
+	rejections  uint8 // attempts that did not run, at most maxBackoffSteps
 	sentAt      Nanos // start of the latest attempt
 	retryAt     Nanos
 	retryIndex  int // index in batchRecord.retries
