dispatch: an attempt that was not sent whole did not run

Callers of classes that must not run twice were told 'failed' at a drain's deadline, or when the module was late, although nothing had been sent; retries of such requests were withheld after a timeout in mid-send, and an attempt in mid-send went on after its client had left. Cause: startAttempt set mayHaveRun before anything was sent; the timer and the cancellation drew the line before Sending instead of before Sent. Why it works: decide/inflight decides from outcomes and delivery state; a server begins a request when its last byte has come, and ending an attempt before that closes its connection.

--- a/internal/decide/inflight/request.go
+++ b/internal/decide/inflight/request.go
@@ -26,6 +26,7 @@
 	kind          OperationKind        // of the current attempt
 	outstanding   bool
 	answerStarted bool // the answer of the current attempt has begun, so its server has the KV state
+	mayHaveRun    bool // a decode attempt that has ended may have run
 
 	holdStatus  holdStatus
 	stateHolder policy.ServerID
@@ -127,6 +128,7 @@
 	if s.kind == PrefillAttempt {
 		return s.endPrefill(now, result), nil
 	}
+	s.mayHaveRun = s.mayHaveRun || !didNotRun(result.Outcome)
 	return s.endDecode(now, result), nil
 }
 
@@ -167,15 +169,13 @@
 
 // mayLeaveState reports whether a prefill attempt may have left KV state on its server that is not recorded as held.
 func mayLeaveState(result AttemptResult) bool {
-	switch result.Outcome {
-	case policy.Prefilled: // its state is recorded as held
-		return false
-	case policy.Rejected, policy.StateMissing, policy.NotSent, policy.Unreachable: // it did not run
+	switch {
+	case result.Outcome == policy.Prefilled: // its state is recorded as held
 		return false
-	case policy.Canceled:
+	case result.Outcome == policy.Canceled:
 		return result.MayHaveBeenReceived
-	default: // it timed out, lost its connection or got no usable result
-		return true
+	default: // unless it did not run, it timed out, lost its connection or got no usable result
+		return !didNotRun(result.Outcome)
 	}
 }
 
--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -83,7 +83,7 @@
 // abort gives a request its final answer without a decision of the module, and cancels the request.
 func (d *Dispatcher) abort(now eventloop.Nanos, req *Request, reason string) {
 	isRetryable := d.classSettings[req.class].idempotent && !req.IsStreaming()
-	if intake.OutcomeAtDrainDeadline(isRetryable, req.mayHaveRun) == intake.Rejected {
+	if intake.OutcomeAtDrainDeadline(isRetryable, req.MayHaveRun(req.deliveryState())) == intake.Rejected {
 		d.reject(req, frontend.RejectionError{Reason: reason})
 	} else {
 		d.fail(req, reason)
@@ -92,7 +92,7 @@
 }
 
 // cancelRequest cancels a request in the admission queue or in the module. It also ends the outstanding attempt if that
-// is streaming, as nobody reads the stream any more, or has not been written yet.
+// is streaming, as nobody reads the stream any more, or has not been sent completely yet.
 func (d *Dispatcher) cancelRequest(now eventloop.Nanos, req *Request) {
 	if d.admission.cancel(now, req) {
 		d.removeIfDone(req)
@@ -102,8 +102,8 @@
 	switch {
 	case req.IsStreaming():
 		d.endAttempt(now, req, policy.Canceled, true, policy.NoLoadReport)
-	case req.attempt != nil && req.attempt.DeliveryState() < inflight.Sending:
-		// An unsent attempt is never sent, even if the module lets a sent one complete.
+	case req.attempt != nil && req.attempt.DeliveryState() < inflight.Sent:
+		// An attempt that was not sent completely never is, even if the module lets a sent one complete.
 		d.endAttempt(now, req, policy.NotSent, true, policy.NoLoadReport)
 	}
 	d.removeIfDone(req)
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -33,7 +33,6 @@
 	req.Server, req.StartedAt, req.AttemptTimeout, req.IsPrefill = server, now, timeout, isPrefill
 	req.attempt = nil
 	if known {
-		req.mayHaveRun = req.mayHaveRun || !isPrefill
 		d.SetAttemptTimer(req, now+timeout)
 		req.attempt = d.backend.StartAttempt(now, req, attempt)
 	}
@@ -92,14 +91,7 @@
 		return
 	}
 	d.Counts.TimedOut++
-	outcome := policy.TimedOut
-	switch req.attempt.DeliveryState() {
-	case inflight.Planned: // it waited for a throttle or a release
-		outcome = policy.NotSent
-	case inflight.Connecting:
-		outcome = policy.Unreachable
-	default:
-	}
+	outcome := inflight.TimeoutOutcome(req.deliveryState())
 	d.endAttempt(now, req, outcome, false, policy.NoLoadReport)
 	d.removeIfDone(req)
 }
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -55,7 +55,11 @@
 
 // silentBackend is a Backend whose servers never respond. It is also the Attempt that StartAttempt returns, and counts
 // the calls to Finish.
-type silentBackend struct{ finished int }
+type silentBackend struct {
+	finished int
+	unsent   bool                   // delivery is the state of attempts, in place of inflight.Acknowledged
+	delivery inflight.DeliveryState // of attempts, if unsent is set
+}
 
 func (*silentBackend) Start(eventloop.Nanos)          {}
 func (*silentBackend) WatchEndpoints(eventloop.Nanos) {}
@@ -77,10 +81,16 @@
 	b.finished++
 	return true
 }
-func (*silentBackend) AfterFinish(eventloop.Nanos)           {}
-func (*silentBackend) CreditWindow(int)                      {}
-func (*silentBackend) ServerResponsive() bool                { return true }
-func (*silentBackend) DeliveryState() inflight.DeliveryState { return inflight.Acknowledged }
+func (*silentBackend) AfterFinish(eventloop.Nanos) {}
+func (*silentBackend) CreditWindow(int)            {}
+func (*silentBackend) ServerResponsive() bool      { return true }
+
+func (b *silentBackend) DeliveryState() inflight.DeliveryState {
+	if b.unsent {
+		return b.delivery
+	}
+	return inflight.Acknowledged
+}
 
 // answerCounts is a frontend.ResponseWriter that counts rejections and failures.
 type answerCounts struct{ rejected, failed int }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -49,7 +49,6 @@
 	ExpectedCachedTokens int64
 
 	prefilledAt eventloop.Nanos // when the last prefill attempt succeeded
-	mayHaveRun  bool            // a decode attempt was started
 }
 
 // clientState is the client's side of a request: its call and the answer so far.
