backend/grpc: a message that waits to be written has not been received

Before: TestUnsentAttemptDidNotRun (states 'acknowledged' and 'planned', outcome 'connection lost' for a message that waits for a blocked socket). Callers: a request that must not run twice was failed instead of retried when such a connection was lost; the debug record 'attempt ended' named 'planned' for attempts that had ended at the engine. Cause: no state between connected and acknowledged, ended streams forgotten. Why it works: the stream knows whether its last frame was written; an engine does not begin a request that it has not received completely.

--- a/internal/backend/grpc/attempt.go
+++ b/internal/backend/grpc/attempt.go
@@ -78,8 +78,12 @@
 // engine that cannot be reached, and such an engine drops its held state after its own timeout.
 func (a *attempt) DeliveryState() inflight.DeliveryState {
 	switch {
+	case a.stream != nil && !a.stream.SendClosed(): // it waits for flow control or a blocked socket
+		return inflight.Sending
 	case a.stream != nil:
 		return inflight.Acknowledged
+	case a.sent: // the engine has ended the stream, or its connection is lost
+		return inflight.Completed
 	case a.conn.connected:
 		return inflight.Planned
 	}
--- a/internal/backend/grpc/stream.go
+++ b/internal/backend/grpc/stream.go
@@ -147,11 +147,19 @@
 		return
 	}
 	detachStream(s, req)
-	outcome := policy.ConnectionLost
-	if refused {
-		outcome = policy.Rejected
+	c.backend.dispatcher.FinishAttempt(c.now, req, resetOutcome(s, refused), "", policy.NoLoadReport)
+}
+
+// resetOutcome returns the outcome of an attempt whose stream was reset or whose connection is lost. An engine does not
+// begin a request that it has not received completely.
+func resetOutcome(s *h2.Stream, refused bool) policy.Outcome {
+	switch {
+	case refused:
+		return policy.Rejected
+	case !s.SendClosed():
+		return policy.Unreachable
 	}
-	c.backend.dispatcher.FinishAttempt(c.now, req, outcome, "", policy.NoLoadReport)
+	return policy.ConnectionLost
 }
 
 // StreamFlushed implements h2.Handler.
--- a/internal/h2/stream.go
+++ b/internal/h2/stream.go
@@ -48,6 +48,10 @@
 // PendingBytes returns the number of bytes that are queued on the stream.
 func (s *Stream) PendingBytes() int { return len(s.pendingOutput) }
 
+// SendClosed reports whether this end has written its last frame of the stream to the connection's output. Before that
+// the peer cannot have the complete message of a unary call.
+func (s *Stream) SendClosed() bool { return s.localClosed }
+
 // HeadersSent reports whether this end has sent its headers on the stream.
 func (s *Stream) HeadersSent() bool { return s.headersSent }
 
