h1: a response that has no body is not waited for

Before: TestBodilessResponse fails for 204 and 304 with Transfer-Encoding: chunked (no message found). Callers: a release that a server answers so counts as unanswered and is repeated. Cause: beginBody looked at the transfer coding before the status. Why it works: by RFC 9112, 6.3, the status decides first.

--- a/internal/h1/decoder.go
+++ b/internal/h1/decoder.go
@@ -158,14 +158,16 @@
 	d.bodyBytes = 0
 	bodiless := head.StatusCode == statusNoContent || head.StatusCode == statusNotModified
 	switch {
+	case bodiless: // whatever its fields say
+		d.state = stateMessageEnd
 	case head.Chunked:
 		d.state = stateChunkSize
-	case head.ContentLength > 0 && !bodiless:
+	case head.ContentLength > 0:
 		d.state, d.remaining = stateFixedBody, head.ContentLength
 		if d.limits.BodyBytes > 0 && head.ContentLength > d.limits.BodyBytes {
 			return ErrBodyTooLarge
 		}
-	case head.ContentLength < 0 && !d.isRequest && !bodiless:
+	case head.ContentLength < 0 && !d.isRequest:
 		d.state, head.Close = stateBodyUntilClose, true
 	default:
 		d.state = stateMessageEnd
--- a/internal/h1/h1_test.go
+++ b/internal/h1/h1_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -52,6 +53,19 @@
 
 var testLimits = Limits{HeadBytes: 1 << 10, BodyBytes: 4 << 10}
 
+// TestBodilessResponse guards against a response without a body that is waited for because its fields announce one.
+func TestBodilessResponse(t *testing.T) {
+	for _, status := range []int{204, 304} {
+		for _, field := range []string{"Transfer-Encoding: chunked", "Content-Length: 5"} {
+			input := fmt.Sprintf("HTTP/1.1 %d None\r\n%s\r\n\r\n", status, field)
+			got, kept, err := decode(NewResponseDecoder(testLimits), []byte(input), len(input))
+			if want := []message{{" ", status, ""}}; err != nil || kept != 0 || !slices.Equal(got, want) {
+				t.Errorf("%d with %s: got %v, %d bytes kept, error %v; want %v", status, field, got, kept, err, want)
+			}
+		}
+	}
+}
+
 // TestSplitAtEveryByte checks that the decoded messages do not depend on how their bytes are split.
 func TestSplitAtEveryByte(t *testing.T) {
 	requests := "POST /a?b=c HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello" +
