h2: TestPeerFaults sees what data after the end of a stream does

The case sent its data on stream 3, which the handler had answered, and looked at stream 1, so that it could not fail. Now a stream whose answer waits for window gets it, and is to be reset with STREAM_CLOSED; data after the answer, which may have been under way, is a case of its own.

Measured: without the check of remoteClosed the new case fails (no reset, status 0); the old one passed.

--- a/internal/h2/faults_test.go
+++ b/internal/h2/faults_test.go
@@ -53,6 +53,10 @@
 			p.headers(1, p.request(), false)
 			p.frames.WriteData(1, true, []byte{0, 0, 0, 0, 9, 1})
 		}, noErrCode, noErrCode, "13"},
+		{"data after the answer", func(p *scriptedPeer) { // which the peer may have sent before it arrived
+			p.headers(1, p.request(), true)
+			p.frames.WriteData(1, false, []byte{0})
+		}, noErrCode, noErrCode, "0"},
 		{"data beyond the stream's window", func(p *scriptedPeer) {
 			p.handler.retain = true
 			p.headers(1, p.request(), false)
@@ -64,13 +68,13 @@
 			p.headers(1, p.encodeRequest("content-length", "3"), false)
 			p.frames.WriteData(1, false, []byte{0, 0, 0, 0, 1, 7})
 		}, noErrCode, http2.ErrCodeProtocol, ""},
-		{"data after the end", func(p *scriptedPeer) {
+		{"data after the end", func(p *scriptedPeer) { // of a stream whose answer waits for window
+			p.frames.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
 			p.headers(1, p.request(), false)
-			p.handler.retain = true
-			p.frames.WriteData(1, false, []byte{0, 0, 0, 0, 0})
-			p.headers(3, p.request(), true)
-			p.frames.WriteData(3, false, []byte{0})
-		}, noErrCode, noErrCode, ""},
+			p.frames.WriteData(1, true, []byte{0, 0, 0, 0, 2, 'o', 'k'})
+			p.frames.WriteData(1, false, []byte{0})
+			p.frames.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: initialWindow})
+		}, noErrCode, http2.ErrCodeStreamClosed, ""},
 		{"data on an idle stream", func(p *scriptedPeer) {
 			p.frames.WriteData(7, false, []byte{0})
 		}, http2.ErrCodeProtocol, noErrCode, ""},
