h2: a content-length with a sign is malformed

Before: the cases 'content length negative' and 'with a sign' of TestPeerFaults fail (no reset). A client's length is no check on its request if a sign turns it off. Cause: ParseInt, and any negative length stood for 'unknown'.

--- a/internal/h2/faults_test.go
+++ b/internal/h2/faults_test.go
@@ -57,6 +57,12 @@
 			p.headers(1, p.request(), true)
 			p.frames.WriteData(1, false, []byte{0})
 		}, noErrCode, noErrCode, "0"},
+		{"content length negative", func(p *scriptedPeer) {
+			p.headers(1, p.encodeRequest("content-length", "-3"), false)
+		}, noErrCode, http2.ErrCodeProtocol, ""},
+		{"content length with a sign", func(p *scriptedPeer) {
+			p.headers(1, p.encodeRequest("content-length", "+3"), false)
+		}, noErrCode, http2.ErrCodeProtocol, ""},
 		{"data beyond the stream's window", func(p *scriptedPeer) {
 			p.handler.retain = true
 			p.headers(1, p.request(), false)
--- a/internal/h2/receive_data.go
+++ b/internal/h2/receive_data.go
@@ -68,7 +68,7 @@
 // Content-Length.
 func (s *Stream) addReceivedBytes(n int, ended bool) bool {
 	s.receivedBytes += int64(n)
-	if s.contentLength < 0 { // unknown; a negative Content-Length is ignored
+	if s.contentLength == unknownContentLength {
 		return true
 	}
 	return s.receivedBytes < s.contentLength && !ended || s.receivedBytes == s.contentLength
--- a/internal/h2/receive_headers.go
+++ b/internal/h2/receive_headers.go
@@ -217,11 +217,11 @@
 	if value == "" {
 		return true
 	}
-	length, err := strconv.ParseInt(value, 10, 63)
+	length, err := strconv.ParseUint(value, 10, 63)
 	if err != nil {
 		return false
 	}
-	s.contentLength = length
+	s.contentLength = int64(length)
 	return true
 }
 
