h2: a stream that this end has ended is not reported as reset

Callers: none seen, as the handlers forget ended streams; the promise of EndWithStatus did not hold. Cause: only the handling of RST_STREAM looked at whether the stream was ending.

--- a/internal/h2/conn.go
+++ b/internal/h2/conn.go
@@ -240,7 +240,7 @@
 	for _, s := range c.sortedStreams() {
 		if s.active {
 			c.removeStream(s)
-			c.handler.StreamReset(s, http2.ErrCodeInternal, false)
+			s.reportReset(http2.ErrCodeInternal, false)
 		}
 	}
 }
--- a/internal/h2/errors.go
+++ b/internal/h2/errors.go
@@ -81,7 +81,7 @@
 	c.frames.writeRSTStream(err.StreamID, err.Code)
 	if s := c.streams[err.StreamID]; s != nil {
 		c.removeStream(s)
-		c.handler.StreamReset(s, err.Code, false)
+		s.reportReset(err.Code, false)
 	}
 }
 
--- a/internal/h2/receive_data.go
+++ b/internal/h2/receive_data.go
@@ -204,7 +204,7 @@
 func (s *Stream) rejectMessage(code codes.Code, reason string) {
 	c := s.conn
 	if c.isServer {
-		c.handler.StreamReset(s, http2.ErrCodeCancel, false)
+		s.reportReset(http2.ErrCodeCancel, false)
 		s.EndWithStatus(code, reason)
 		return
 	}
--- a/internal/h2/receive_frames.go
+++ b/internal/h2/receive_frames.go
@@ -153,11 +153,8 @@
 		return c.checkAbuse(abuse.ClosedStreamReset)
 	}
 	c.peerResetCount++
-	wasEnding := s.isEnding()
 	c.removeStream(s)
-	if !wasEnding {
-		c.handler.StreamReset(s, f.ErrCode, f.ErrCode == http2.ErrCodeRefusedStream)
-	}
+	s.reportReset(f.ErrCode, f.ErrCode == http2.ErrCodeRefusedStream)
 	if c.isServer {
 		return c.checkAbuse(abuse.StreamReset)
 	}
@@ -192,7 +189,7 @@
 		for _, s := range c.sortedStreams() {
 			if s.active && s.id > f.LastStreamID {
 				c.removeStream(s)
-				c.handler.StreamReset(s, http2.ErrCodeRefusedStream, true)
+				s.reportReset(http2.ErrCodeRefusedStream, true)
 			}
 		}
 	}
--- a/internal/h2/stream.go
+++ b/internal/h2/stream.go
@@ -62,6 +62,13 @@
 // isEnding reports whether EndWithStatus was called on a server and output of the stream is still pending.
 func (s *Stream) isEnding() bool { return s.endAfterOutput && s.conn.isServer }
 
+// reportReset tells the Handler that the stream was reset, unless this end has ended it before.
+func (s *Stream) reportReset(code http2.ErrCode, refused bool) {
+	if !s.isEnding() {
+		s.conn.handler.StreamReset(s, code, refused)
+	}
+}
+
 // Reset ends the stream at once. The Handler is not called for it again.
 func (s *Stream) Reset(code http2.ErrCode) {
 	if !s.active {
