batchrunner: an end of a line is stored until that succeeds

Callers: while the disk was full, answered lines were asked for again, and lines stood in neither file of a batch that ended as completed. Cause: one try, whose error became a lost connection or a log line. Why it works: the write is repeated each second until it succeeds, the records are corrupt or the runner stops; lines and ends that wait are bounded by MaxLinesInFlight each.

--- a/internal/batchrunner/finalize.go
+++ b/internal/batchrunner/finalize.go
@@ -83,7 +83,7 @@
 		code, reason := end.failure(index)
 		return encodeFailure(a.record.ID, index, line.CustomID, code, string(reason))
 	}
-	if err := r.store.FailLines(a.record.ID, unsent, failureText); err != nil {
+	if err := r.lines.FailLines(a.record.ID, unsent, failureText); err != nil {
 		return err
 	}
 	b, err := r.store.Batch(a.record.Tenant, a.record.ID)
--- a/internal/batchrunner/marks.go
+++ b/internal/batchrunner/marks.go
@@ -27,7 +27,7 @@
 // storeWaiting stores a line as waiting, with its attempts that may have run.
 func (r *Runner) storeWaiting(a *activeBatch, index batchscheduler.LineIndex, attempts batchstore.Attempts) {
 	_ = r.storeUntilDone(a, func() error {
-		return r.store.SetLineState(a.record.ID, index, batchscheduler.LineWaiting, attempts)
+		return r.lines.SetLineState(a.record.ID, index, batchscheduler.LineWaiting, attempts)
 	})
 }
 
--- a/internal/batchrunner/resume.go
+++ b/internal/batchrunner/resume.go
@@ -172,7 +172,7 @@
 func (r *Runner) recordFailures(batchID string, failures []lineFailure) error {
 	for _, f := range failures {
 		text := encodeFailure(batchID, f.index, f.customID, f.code, f.message)
-		if err := r.store.RecordResult(batchID, f.index, batchstore.ResultFailed, text); err != nil {
+		if err := r.lines.RecordResult(batchID, f.index, batchstore.ResultFailed, text); err != nil {
 			return err
 		}
 	}
--- a/internal/batchrunner/runner.go
+++ b/internal/batchrunner/runner.go
@@ -51,11 +51,21 @@
 	BootClock         bootclock.Clock // nil = bootclock.Now
 }
 
+// lineStore stores the states and results of lines. A *batchstore.Store implements it.
+type lineStore interface {
+	SetLineState(batchID string, index batchscheduler.LineIndex, state batchscheduler.LineState,
+		attempts batchstore.Attempts) error
+	RecordResult(batchID string, index batchscheduler.LineIndex, kind batchstore.ResultKind, text []byte) error
+	FailLines(batchID string, indexes []batchscheduler.LineIndex,
+		failureText func(index batchscheduler.LineIndex, line batchstore.Line) []byte) error
+}
+
 // Runner runs the batches of a store. Batches make progress only during a call of Run. Its methods may be called
 // concurrently.
 type Runner struct {
 	config    Config
 	store     *batchstore.Store
+	lines     lineStore // is store, except in tests
 	log       *slog.Logger
 	client    pb.GenerationClient
 	conn      *grpc.ClientConn
@@ -70,6 +80,9 @@
 	resuming    map[string]bool         // batches that a call of resume has reserved, by the ID in the store
 	byID        map[batchscheduler.BatchID]*activeBatch
 	lastBatchID batchscheduler.BatchID
+	// unstoredEnds is the sum of those of all batches. No line is sent while it is at Config.MaxLinesInFlight, so that
+	// what waits for a store that fails stays bounded.
+	unstoredEnds int
 }
 
 // activeBatch is a batch that the scheduler holds. Runner.mu guards its fields except record.ID, record.Tenant,
@@ -114,6 +127,7 @@
 	return &Runner{
 		config:    config,
 		store:     store,
+		lines:     store,
 		log:       log,
 		client:    pb.NewGenerationClient(conn),
 		conn:      conn,
@@ -207,14 +221,14 @@
 		expired[a] = append(expired[a], index)
 	}
 	for a, lines := range expired {
-		a.unstoredEnds++
+		r.beginStoring(a)
 		r.wg.Go(func() { r.storeExpiredLines(a, lines) })
 	}
 }
 
 // sendLines sends the lines that the scheduler allows to be sent. r.mu must be held.
 func (r *Runner) sendLines(now batchscheduler.Nanos) {
-	for {
+	for r.unstoredEnds < r.config.MaxLinesInFlight {
 		id, index, ok := r.scheduler.NextLine(now)
 		if !ok {
 			return
--- a/internal/batchrunner/send.go
+++ b/internal/batchrunner/send.go
@@ -66,7 +66,7 @@
 		return
 	}
 	result := attemptResult{outcome: batchscheduler.OutcomeRejected, retryAfter: storeRetryInterval}
-	err = r.store.SetLineState(a.record.ID, index, batchscheduler.LineInFlight, attempts)
+	err = r.lines.SetLineState(a.record.ID, index, batchscheduler.LineInFlight, attempts)
 	if err == nil {
 		result = r.generate(a, index, request)
 	} else {
@@ -213,9 +213,10 @@
 	a *activeBatch, index batchscheduler.LineIndex, line batchstore.Line, result attemptResult,
 ) {
 	if result.outcome == batchscheduler.OutcomeServed {
-		err := r.store.RecordResult(a.record.ID, index, batchstore.ResultCompleted, result.output)
-		if err != nil { // an idempotent line is retried, any other fails as it may have run
-			r.log.Error("result not stored", "batch_id", a.record.ID, "line", index+1, "error", err)
+		err := r.storeUntilDone(a, func() error {
+			return r.lines.RecordResult(a.record.ID, index, batchstore.ResultCompleted, result.output)
+		})
+		if err != nil { // the runner stops, or the batch's records are corrupt
 			result = attemptResult{
 				outcome: batchscheduler.OutcomeConnectionLost, code: codeResultNotStored, message: err.Error(),
 			}
@@ -223,16 +224,16 @@
 	}
 	r.mu.Lock()
 	verdict, reason := r.scheduler.ReportOutcome(r.now(), a.id, index, result.outcome, int64(result.retryAfter))
-	a.unstoredEnds++
+	r.beginStoring(a)
 	isCancelled := a.record.State == batchscheduler.StateCancelling
 	isStopping := a.runnerCtx.Err() != nil && !isCancelled && !a.expired
 	r.mu.Unlock()
 
 	if verdict == batchscheduler.VerdictFailed && !isStopping { // after a stop the next process resumes the line
 		text := encodeAttemptFailure(a.record.ID, index, line.CustomID, result, reason, isCancelled)
-		if err := r.store.RecordResult(a.record.ID, index, batchstore.ResultFailed, text); err != nil {
-			r.log.Error("line failure not stored", "batch_id", a.record.ID, "line", index+1, "error", err)
-		}
+		_ = r.storeUntilDone(a, func() error {
+			return r.lines.RecordResult(a.record.ID, index, batchstore.ResultFailed, text)
+		})
 	}
 	r.endStored(a)
 }
--- a/internal/batchrunner/storeend.go
+++ b/internal/batchrunner/storeend.go
@@ -18,7 +18,7 @@
 		reason := string(batchscheduler.ReasonDeduplicationExpired)
 		return encodeFailure(a.record.ID, index, line.CustomID, codeMayHaveRun, reason)
 	}
-	_ = r.storeUntilDone(a, func() error { return r.store.FailLines(a.record.ID, lines, failureText) })
+	_ = r.storeUntilDone(a, func() error { return r.lines.FailLines(a.record.ID, lines, failureText) })
 	r.endStored(a)
 }
 
@@ -48,10 +48,17 @@
 		errors.Is(err, batchstore.ErrNotFound) || errors.Is(err, recordstore.ErrNotFound)
 }
 
+// beginStoring counts an end that was reported to the scheduler and is to be stored. r.mu must be held.
+func (r *Runner) beginStoring(a *activeBatch) {
+	a.unstoredEnds++
+	r.unstoredEnds++
+}
+
 // endStored counts an end as stored and makes Run check whether the batch has ended.
 func (r *Runner) endStored(a *activeBatch) {
 	r.mu.Lock()
 	a.unstoredEnds--
+	r.unstoredEnds--
 	r.mu.Unlock()
 	r.wakeLoop()
 }
--- a/internal/decide/inflight/request.go
+++ b/internal/decide/inflight/request.go
@@ -169,10 +169,10 @@
 
 // mayLeaveState reports whether a prefill attempt may have left KV state on its server that is not recorded as held.
 func mayLeaveState(result AttemptResult) bool {
-	switch {
-	case result.Outcome == policy.Prefilled: // its state is recorded as held
+	switch result.Outcome {
+	case policy.Prefilled: // its state is recorded as held
 		return false
-	case result.Outcome == policy.Canceled:
+	case policy.Canceled:
 		return result.MayHaveBeenReceived
 	default: // unless it did not run, it timed out, lost its connection or got no usable result
 		return !didNotRun(result.Outcome)
