batchstore: a write that fails gives its quota back

Callers: after uploads or finalizations that failed, a tenant could store less, or nothing, until a restart. Cause: the quota of a content was kept whether or not its record followed. Why it works: a failed change gives the quota back and removes the content, unless the record is visible all the same, which a commit whose sync failed may be.

--- a/internal/batchrunner/finalize.go
+++ b/internal/batchrunner/finalize.go
@@ -79,6 +79,10 @@
 
 // tryFinalize fails the unsent lines and writes the result files. It may be called again after an error.
 func (r *Runner) tryFinalize(a *activeBatch, unsent []batchscheduler.LineIndex, end ending) error {
+	b, err := r.store.Batch(a.record.Tenant, a.record.ID)
+	if err != nil || b.State.IsTerminal() { // the change of an earlier try is in place although its sync failed
+		return err
+	}
 	failureText := func(index batchscheduler.LineIndex, line batchstore.Line) []byte {
 		code, reason := end.failure(index)
 		return encodeFailure(a.record.ID, index, line.CustomID, code, string(reason))
@@ -86,10 +90,6 @@
 	if err := r.lines.FailLines(a.record.ID, unsent, failureText); err != nil {
 		return err
 	}
-	b, err := r.store.Batch(a.record.Tenant, a.record.ID)
-	if err != nil {
-		return err
-	}
 	if b.State != batchscheduler.StateFinalizing {
 		b, err = r.store.TransitionBatch(b.ID, batchscheduler.StateFinalizing, func(b *batchstore.Batch) {
 			b.FinalState, b.FinalizingUnix = end.state, time.Now().Unix()
--- a/internal/state/batchstore/content.go
+++ b/internal/state/batchstore/content.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
+
+	"docksail/internal/state/recordstore"
 )
 
 const (
@@ -94,10 +97,32 @@
 func (w *contentWriter) commit(fileID string) error {
 	if err := w.moveInPlace(fileID); err != nil {
 		w.discard()
+		_ = os.Remove(w.store.contentPath(fileID)) // it is there if the directory could not be synced
 		return err
 	}
 	w.store.releaseQuota(w.tenant, w.reserved-w.written)
-	return w.store.atFailpoint(afterContentInPlace)
+	if err := w.store.atFailpoint(afterContentInPlace); err != nil {
+		w.store.releaseQuota(w.tenant, w.written)
+		return err
+	}
+	return nil
+}
+
+// discardUnrecorded removes the content of files whose records could not be stored, and releases their quota. It keeps
+// what has a record all the same, as a change whose sync has failed may be in place.
+func (s *Store) discardUnrecorded(files ...File) {
+	for _, file := range files {
+		if file.ID == "" { // there was nothing to write
+			continue
+		}
+		var recorded File
+		err := s.records.View(func(tx *recordstore.Tx) error { return getJSON(tx, filesSet, file.ID, &recorded) })
+		if !errors.Is(err, ErrNotFound) {
+			continue
+		}
+		s.releaseQuota(file.Tenant, file.SizeBytes)
+		_ = os.Remove(s.contentPath(file.ID)) // the next Open removes leftover content
+	}
 }
 
 // moveInPlace syncs the temporary file, renames it to the path of the content and syncs the directory.
--- a/internal/state/batchstore/files.go
+++ b/internal/state/batchstore/files.go
@@ -28,8 +28,8 @@
 }
 
 // UploadFile stores the content of r as a new file. Its error wraps ErrFileTooLarge if the content is larger than
-// maxBytes and ErrQuotaExceeded if it exceeds the tenant's quota. A failed upload leaves no record; the next Open
-// removes content that it may have left.
+// maxBytes and ErrQuotaExceeded if it exceeds the tenant's quota. A failed upload uses no quota; the next Open removes
+// content that it may have left.
 func (s *Store) UploadFile(now time.Time, tenant, name, purpose string, r io.Reader, maxBytes int64) (File, error) {
 	w, err := s.newContentWriter(tenant, maxBytes)
 	if err != nil {
@@ -47,7 +47,16 @@
 	if err := w.commit(file.ID); err != nil {
 		return File{}, err
 	}
-	return file, s.records.Update(func(tx *recordstore.Tx) error { return putJSON(tx, filesSet, file.ID, file) })
+	err = s.records.Update(func(tx *recordstore.Tx) error {
+		if err := s.atFailpoint(beforeFileRecord); err != nil {
+			return err
+		}
+		return putJSON(tx, filesSet, file.ID, file)
+	})
+	if err != nil {
+		s.discardUnrecorded(file)
+	}
+	return file, err
 }
 
 // File returns a tenant's file. Its error wraps ErrNotFound if the tenant has none with that ID.
--- a/internal/state/batchstore/results.go
+++ b/internal/state/batchstore/results.go
@@ -104,21 +104,34 @@
 }
 
 // FinalizeBatch writes the error file and the output file of a batch in StateFinalizing and moves it to its FinalState.
-// It may be called again after an interruption at any point.
+// It may be called again after an error or an interruption at any point.
 func (s *Store) FinalizeBatch(now time.Time, b Batch) (Batch, error) {
+	var errorFile, outputFile File
 	errorFile, err := s.writeResultFile(now, b, ResultFailed)
-	if err != nil {
-		return b, err
+	if err == nil {
+		outputFile, err = s.writeResultFile(now, b, ResultCompleted)
 	}
-	outputFile, err := s.writeResultFile(now, b, ResultCompleted)
-	if err != nil {
-		return b, err
+	if err == nil {
+		err = s.atFailpoint(afterFilesWritten)
 	}
-	if err := s.atFailpoint(afterFilesWritten); err != nil {
+	if err == nil {
+		b, err = s.recordFinalized(now, b.ID, errorFile, outputFile)
+	}
+	if err != nil {
+		s.discardUnrecorded(errorFile, outputFile)
 		return b, err
 	}
+	return b, s.removeDeletedInput(b.InputFileID)
+}
+
+// recordFinalized stores the records of a batch's result files, of which each may be empty, and moves the batch to its
+// FinalState.
+func (s *Store) recordFinalized(now time.Time, batchID string, errorFile, outputFile File) (b Batch, err error) {
 	err = s.records.Update(func(tx *recordstore.Tx) error {
-		if err := getJSON(tx, batchesSet, b.ID, &b); err != nil {
+		if err := s.atFailpoint(beforeBatchRecord); err != nil {
+			return err
+		}
+		if err := getJSON(tx, batchesSet, batchID, &b); err != nil {
 			return err
 		}
 		if err := batchscheduler.CheckTransition(b.State, b.FinalState); err != nil {
@@ -139,10 +152,7 @@
 		}
 		return putJSON(tx, batchesSet, b.ID, b)
 	})
-	if err != nil {
-		return b, err
-	}
-	return b, s.removeDeletedInput(b.InputFileID)
+	return b, err
 }
 
 // writeResultFile writes the texts of a batch's results of a kind as the content of a file. The file's ID is derived
--- a/internal/state/batchstore/store.go
+++ b/internal/state/batchstore/store.go
@@ -58,13 +58,15 @@
 	unlimited = 1 << 30
 )
 
-// failpoint is a step after which tests inject an error, as if the process had crashed.
+// failpoint is a step after or before which tests inject an error, as if the process had crashed or the disk were full.
 type failpoint string
 
 const (
 	afterContentWritten failpoint = "content written"
 	afterContentInPlace failpoint = "content in place"
 	afterFilesWritten   failpoint = "files written"
+	beforeFileRecord    failpoint = "file record"
+	beforeBatchRecord   failpoint = "batch record"
 )
 
 // Store holds the files and batches of one directory. Its methods may be called concurrently.
