recordstore: directories are synced where a file is new in them

Before: TestDirectoryIsSynced fails for Open and Compact (no directory synced, an error of the sync not reported). Callers could lose, by a loss of power, what the batch API had acknowledged: the name of a new or compacted file was not on disk. Not shown on such a machine. Cause: only the file was synced. Why it works: the entry of a file lasts once its directory is synced; two copies of that function are one.

--- a/internal/state/batchstore/content.go
+++ b/internal/state/batchstore/content.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 
+	"docksail/internal/state/durable"
 	"docksail/internal/state/recordstore"
 )
 
@@ -143,15 +144,5 @@
 	if err := os.Rename(w.file.Name(), path); err != nil {
 		return err
 	}
-	return syncDir(filepath.Dir(path))
-}
-
-// syncDir makes a rename within a directory durable.
-func syncDir(name string) error {
-	dir, err := os.Open(name)
-	if err != nil {
-		return err
-	}
-	defer dir.Close()
-	return dir.Sync()
+	return durable.SyncDir(filepath.Dir(path))
 }
--- a/internal/state/batchstore/store.go
+++ b/internal/state/batchstore/store.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"sync"
 
+	"docksail/internal/state/durable"
 	"docksail/internal/state/recordstore"
 )
 
@@ -85,10 +86,8 @@
 // each tenant's files; 0 means unlimited. Open removes the remains of interrupted uploads. Its error wraps
 // recordstore.ErrLocked if another process has the store open.
 func Open(dir string, tenantQuotaBytes int64) (*Store, error) {
-	for _, name := range []string{contentsDirName, uploadsDirName} {
-		if err := os.MkdirAll(filepath.Join(dir, name), dirMode); err != nil {
-			return nil, err
-		}
+	if err := createDirs(dir); err != nil {
+		return nil, err
 	}
 	records, err := recordstore.Open(filepath.Join(dir, recordsFileName))
 	if err != nil {
@@ -108,6 +107,21 @@
 	return s, nil
 }
 
+// createDirs creates a store's directory and those in it, unless they exist. recordstore.Open makes the latter durable.
+func createDirs(dir string) error {
+	_, err := os.Stat(dir)
+	isNew := errors.Is(err, os.ErrNotExist)
+	for _, name := range []string{contentsDirName, uploadsDirName} {
+		if err := os.MkdirAll(filepath.Join(dir, name), dirMode); err != nil {
+			return err
+		}
+	}
+	if isNew {
+		return durable.SyncDir(filepath.Dir(dir))
+	}
+	return nil
+}
+
 // Close closes the store.
 func (s *Store) Close() error { return s.records.Close() }
 
--- a/internal/state/endpointlist/file.go
+++ b/internal/state/endpointlist/file.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+
+	"docksail/internal/state/durable"
 )
 
 // fileFormat is the version of the file format. A file holds the SHA-256 digest of its body in hexadecimal, a newline,
@@ -56,7 +58,7 @@
 		os.Remove(temporary)
 		return err
 	}
-	return syncDirectory(filepath.Dir(name))
+	return durable.SyncDir(filepath.Dir(name))
 }
 
 // writeTemporary writes and syncs a temporary file in the directory of the named file and returns its name. It removes
@@ -80,16 +82,6 @@
 	return f.Name(), nil
 }
 
-// syncDirectory makes a rename in the directory durable.
-func syncDirectory(name string) error {
-	dir, err := os.Open(name)
-	if err != nil {
-		return err
-	}
-	defer dir.Close()
-	return dir.Sync()
-}
-
 // Load reads a file written by Save into an empty list and returns its endpoints. The next update must be a full one,
 // because updates since the file was saved may have been missed. On an error the list stays empty; if the file could be
 // read, the error wraps ErrCorruptFile, ErrUnknownFormat or an *InvalidEndpointError.
--- a/internal/state/recordstore/compact.go
+++ b/internal/state/recordstore/compact.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 
 	"go.etcd.io/bbolt"
 )
@@ -37,7 +38,10 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	return before, info.Size(), os.Rename(copyPath, path)
+	if err := os.Rename(copyPath, path); err != nil {
+		return 0, 0, err
+	}
+	return before, info.Size(), syncDir(filepath.Dir(path))
 }
 
 // writeCompactCopy writes the records of a store into a new file.
--- a/internal/state/recordstore/export_test.go
+++ b/internal/state/recordstore/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"testing"
 
 	"go.etcd.io/bbolt"
 )
@@ -14,3 +15,11 @@
 		return err
 	})
 }
+
+// ReplaceSyncDir replaces the function that syncs a directory until the test ends.
+func ReplaceSyncDir(t *testing.T, sync func(name string) error) {
+	t.Helper()
+	previous := syncDir
+	syncDir = sync
+	t.Cleanup(func() { syncDir = previous })
+}
--- a/internal/state/recordstore/store.go
+++ b/internal/state/recordstore/store.go
@@ -8,11 +8,14 @@
 	"fmt"
 	"io/fs"
 	"os"
+	"path/filepath"
 	"runtime/debug"
 	"time"
 
 	"go.etcd.io/bbolt"
 	bolterrors "go.etcd.io/bbolt/errors"
+
+	"docksail/internal/state/durable"
 )
 
 var (
@@ -35,6 +38,9 @@
 	path string
 }
 
+// syncDir makes the entries of a directory durable. Tests replace it.
+var syncDir = durable.SyncDir
+
 // Open opens the store in a file, which it creates if it does not exist. Its error wraps ErrLocked if another process
 // has the store open.
 func Open(path string) (s *Store, err error) {
@@ -46,6 +52,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("record store %s: %w", path, err)
 	}
+	if err := syncDir(filepath.Dir(path)); err != nil { // the file may be new
+		return nil, errors.Join(fmt.Errorf("record store %s: %w", path, err), db.Close())
+	}
 	return &Store{db, path}, nil
 }
 
--- a/internal/state/recordstore/store_test.go
+++ b/internal/state/recordstore/store_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -223,3 +224,49 @@
 		s.Close()
 	}
 }
+
+// TestDirectoryIsSynced guards against a new or a compacted file that a crash of the machine undoes, as its directory
+// was not synced, and against an error of that sync that is not reported.
+func TestDirectoryIsSynced(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "vault")
+	for _, c := range []struct {
+		name   string
+		change func() error
+	}{
+		{"open", func() error {
+			s, err := Open(path)
+			if err != nil {
+				return err
+			}
+			return s.Close()
+		}},
+		{"compact", func() error {
+			_, _, err := Compact(path)
+			return err
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var synced []string
+			ReplaceSyncDir(t, func(name string) error {
+				synced = append(synced, name)
+				return nil
+			})
+			if err := c.change(); err != nil || !slices.Contains(synced, dir) {
+				t.Errorf("synced %v, error %v; want %s", synced, err, dir)
+			}
+			last := len(synced)
+			ReplaceSyncDir(t, func(string) error {
+				if last--; last > 0 {
+					return nil
+				}
+				return errSync
+			})
+			if err := c.change(); !errors.Is(err, errSync) {
+				t.Errorf("error %v, want that of the sync", err)
+			}
+		})
+	}
+}
+
+var errSync = errors.New("input/output error")
