--- a/cmd/docksail/batch.go
+++ b/cmd/docksail/batch.go
@@ -18,12 +18,20 @@
 // pollInterval is the time between two requests for the state of a batch whose progress is shown.
 const pollInterval = time.Second
 
+// keyVariable names the environment variable that has the API key.
+const keyVariable = "DOCKSAIL_KEY"
+
 // batchCommand returns the command batch, whose subcommands use the batch API or its store.
 func batchCommand() *cobra.Command {
 	client := &batchclient.Client{}
 	c := &cobra.Command{Use: "batch", Short: "Submit files of requests as batches, show their progress, fetch results"}
 	c.PersistentFlags().StringVar(&client.Address, "at", "http://127.0.0.1:7610", "address of the batch API")
-	c.PersistentFlags().StringVar(&client.APIKey, "key", os.Getenv("DOCKSAIL_KEY"), "API key, by default $DOCKSAIL_KEY")
+	c.PersistentFlags().StringVar(&client.APIKey, "key", "", "API key, by default $DOCKSAIL_KEY")
+	c.PersistentPreRun = func(c *cobra.Command, _ []string) { // not a flag's default, which the help shows
+		if !c.Flags().Changed("key") {
+			client.APIKey = os.Getenv(keyVariable)
+		}
+	}
 	c.AddCommand(submitCommand(client), batchStatusCommand(client), fetchCommand(client), cancelCommand(client))
 	c.AddCommand(verifyCommand(), compactCommand())
 	return c
--- a/cmd/docksail/main_test.go
+++ b/cmd/docksail/main_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -40,6 +42,46 @@
 	}
 }
 
+// TestKeyIsNotShown guards against the API key in what the program prints about its flags and its errors.
+func TestKeyIsNotShown(t *testing.T) {
+	const key = "example-key"
+	for _, args := range [][]string{
+		{"batch", "--help"},
+		{"batch", "submit", "--help"},
+		{"batch", "status"}, // an argument is missing
+		{"batch", "status", "batch_1", "--no-such-flag"},
+		{"batch", "status", "batch_1", "--at", "http://127.0.0.1:1"},
+	} {
+		command := program(args...)
+		command.Env = append(command.Env, "DOCKSAIL_KEY="+key)
+		if output, _ := command.CombinedOutput(); len(output) == 0 || bytes.Contains(output, []byte(key)) {
+			t.Errorf("%v prints %q, want no key", args, output)
+		}
+	}
+}
+
+// TestKeyFromEnvironment checks that commands of the batch API send the key of the flag or, without it, of DOCKSAIL_KEY.
+func TestKeyFromEnvironment(t *testing.T) {
+	received := make(chan string, 1)
+	api := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		received <- r.Header.Get("Authorization")
+		w.WriteHeader(http.StatusNotFound)
+	}))
+	defer api.Close()
+	for want, flags := range map[string][]string{
+		"Bearer from-environment": nil, "Bearer from-flag": {"--key", "from-flag"},
+	} {
+		command := program(append([]string{"batch", "status", "batch_1", "--at", api.URL}, flags...)...)
+		command.Env = append(command.Env, "DOCKSAIL_KEY=from-environment")
+		if output, err := command.CombinedOutput(); err == nil {
+			t.Errorf("the unknown batch is found: %s", output)
+		}
+		if got := <-received; got != want {
+			t.Errorf("the key is sent as %q, want %q", got, want)
+		}
+	}
+}
+
 // TestFormerStatusName checks that status has a hidden, deprecated alias with its former name.
 func TestFormerStatusName(t *testing.T) {
 	alias, _, err := rootCommand().Find([]string{"view"})
