config: errors do not show what stands in place of a key's hash

Before: TestErrorsHideKeys fails for five of eight settings ('must be an object, not "example-key"'): an operator who writes the key in place of its hash has it in the log. Cause: errors quote what they found. Why it works: in a field with the tag 'secret' neither values nor names are quoted; so in frontend/batch.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -43,7 +43,7 @@
 	InitialBackoff      time.Duration  `json:"again_after"` // before the first retry of a line
 	MaxCompletionWindow time.Duration  `json:"longest_window"`
 	FileRetention       time.Duration  `json:"keep_files"` // age at which files are deleted; 0 = unlimited
-	Keys                []Key          `json:"keys"`
+	Keys                []Key          `json:"keys" secret:"true"`
 }
 
 // Key is an API key of the batch API and the tenant that it authenticates.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// TestErrorsHideKeys guards against errors that show what stands where the hash of an API key should: often the key.
+func TestErrorsHideKeys(t *testing.T) {
+	for _, keys := range []string{
+		`"example-key"`, `["example-key"]`, `[{"example-key": "main"}]`, `{"main": "example-key"}`,
+		`[{"sha256": "example-key"}]`, `[{"sha256": ["example-key"]}]`, `[{"sha256": 123454321}]`, `[123454321]`,
+	} {
+		text := strings.Replace(validText, `"rules"`,
+			`"batch": {"listen": "127.0.0.1:7610", "dir": "d", "keys": `+keys+`}, "rules"`, 1)
+		_, err := Parse("x", []byte(text))
+		if err == nil || strings.Contains(err.Error(), "example-key") || strings.Contains(err.Error(), "123454321") {
+			t.Errorf("keys %s: error %v, want one without the key", keys, err)
+		}
+	}
+}
+
 // TestParseErrors checks that each error names the file, the line, the field and what is permitted.
 func TestParseErrors(t *testing.T) {
 	for _, test := range []struct{ from, to, want string }{
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -16,9 +16,10 @@
 
 // Tags of the fields that are decoded and printed.
 const (
-	nameTag       = "json" // name of the field; fields without a name are ignored
-	formerNameTag = "was"  // name of the field in the previous release, which is read with a warning
-	requiredTag   = "need" // description of a field that must be present
+	nameTag       = "json"   // name of the field; fields without a name are ignored
+	formerNameTag = "was"    // name of the field in the previous release, which is read with a warning
+	requiredTag   = "need"   // description of a field that must be present
+	secretTag     = "secret" // set for a field of whose text errors show nothing
 )
 
 // Raw is the unparsed text of a field, which the caller decodes.
@@ -45,6 +46,7 @@
 	text     []byte
 	lines    map[string]int // by path
 	errs     []error
+	inSecret bool     // the field that is being decoded, or one around it, has the tag secretTag
 	warnings []string // one for each former name that was read
 }
 
@@ -147,7 +149,7 @@
 func (d *decoder) decodeList(v hujson.Value, target reflect.Value, path string) {
 	list, ok := v.Value.(*hujson.Array)
 	if !ok {
-		d.addError(path, "must be a list, not %s", describe(v))
+		d.addError(path, "must be a list, not %s", d.describe(v))
 		return
 	}
 	for i, element := range list.Elements {
@@ -159,7 +161,7 @@
 func (d *decoder) decodeObject(v hujson.Value, target reflect.Value, path string) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		d.addError(path, "must be an object, not %s", describe(v))
+		d.addError(path, "must be an object, not %s", d.describe(v))
 		return
 	}
 	fields := fieldsOf(target.Type())
@@ -175,12 +177,14 @@
 		}
 		index, ok := fields.index[name]
 		switch {
+		case !ok && d.inSecret:
+			d.addError(path, "has an unknown field, must be one of %s", strings.Join(fields.names, ", "))
 		case !ok:
 			d.addError(memberPath, "unknown field, must be one of %s", strings.Join(fields.names, ", "))
 		case seen[name]:
 			d.addError(memberPath, "is set twice")
 		default:
-			d.decodeValue(member.Value, target.Field(index), memberPath)
+			d.decodeField(member.Value, target, index, memberPath)
 		}
 		seen[name] = true
 	}
@@ -191,6 +195,14 @@
 	}
 }
 
+// decodeField decodes v into a field of the struct target.
+func (d *decoder) decodeField(v hujson.Value, target reflect.Value, index int, path string) {
+	outer := d.inSecret
+	d.inSecret = outer || target.Type().Field(index).Tag.Get(secretTag) != ""
+	d.decodeValue(v, target.Field(index), path)
+	d.inSecret = outer
+}
+
 // structFields describes the fields of a struct that are decoded.
 type structFields struct {
 	names   []string          // in the order of the fields
@@ -223,13 +235,16 @@
 }
 
 // describe returns a description of a value of the wrong type for an error.
-func describe(v hujson.Value) string {
+func (d *decoder) describe(v hujson.Value) string {
 	switch value := v.Value.(type) {
 	case *hujson.Object:
 		return "an object"
 	case *hujson.Array:
 		return "a list"
 	case hujson.Literal:
+		if d.inSecret {
+			return "what is there"
+		}
 		return string(value)
 	}
 	return "nothing"
--- a/internal/config/literal.go
+++ b/internal/config/literal.go
@@ -22,7 +22,7 @@
 func (d *decoder) textLiteral(v hujson.Value, path string) (string, bool) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != textKind {
-		d.addError(path, "must be a string, not %s", describe(v))
+		d.addError(path, "must be a string, not %s", d.describe(v))
 		return "", false
 	}
 	return literal.String(), true
@@ -33,7 +33,7 @@
 func (d *decoder) numberLiteral(v hujson.Value, path, expected string) (string, bool) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != numberKind {
-		d.addError(path, "must be %s, not %s", expected, describe(v))
+		d.addError(path, "must be %s, not %s", expected, d.describe(v))
 		return "", false
 	}
 	return string(literal), true
@@ -71,7 +71,7 @@
 func (d *decoder) decodeBool(v hujson.Value, target reflect.Value, path string) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != trueKind && literal.Kind() != falseKind {
-		d.addError(path, "must be true or false, not %s", describe(v))
+		d.addError(path, "must be true or false, not %s", d.describe(v))
 		return
 	}
 	target.SetBool(literal.Bool())
--- a/internal/frontend/batch/server.go
+++ b/internal/frontend/batch/server.go
@@ -51,7 +51,7 @@
 	for hash, tenant := range tenantsByKeyHash {
 		b, err := hex.DecodeString(hash)
 		if err != nil || len(b) != sha256.Size {
-			return nil, fmt.Errorf("key hash of tenant %q is %q, must be a SHA-256 hash in hexadecimal", tenant, hash)
+			return nil, fmt.Errorf("key hash of tenant %q is not a SHA-256 hash in hexadecimal", tenant)
 		}
 		tenants[[sha256.Size]byte(b)] = tenant
 	}
