--- a/cmd/docksail/main_test.go
+++ b/cmd/docksail/main_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// TestKeyFromEnvironment checks that commands of the batch API send the key of the flag or, without it, of DOCKSAIL_KEY.
+// TestKeyFromEnvironment checks that commands of the batch API send the key of the flag or, without it, the variable.
 func TestKeyFromEnvironment(t *testing.T) {
 	received := make(chan string, 1)
 	api := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
