docksail: an order to end is not lost among orders to reload, nor in a start

Callers lost what a dispatcher had in hand: after many SIGHUPs a SIGTERM was dropped, the process served on until SIGKILL; and a SIGHUP during a start ended the process. Cause: one channel of four places for all signals, made in the command.

--- a/cmd/docksail/main.go
+++ b/cmd/docksail/main.go
@@ -8,15 +8,25 @@
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"docksail/internal/earlysignal"
 )
 
 func main() {
+	if !runsDispatcher(os.Args) {
+		earlysignal.Restore()
+	}
 	if err := rootCommand().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "docksail:", err)
 		os.Exit(1)
 	}
 }
 
+// runsDispatcher reports whether the command line runs a dispatcher, which handles signals itself.
+func runsDispatcher(args []string) bool {
+	return len(args) > 1 && (args[1] == "serve" || args[1] == "node")
+}
+
 func rootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "docksail",
--- a/cmd/docksail/main_test.go
+++ b/cmd/docksail/main_test.go
@@ -8,6 +8,8 @@
 	"os/exec"
 	"path/filepath"
 	"testing"
+
+	"docksail/internal/earlysignal"
 )
 
 // runMainVariable names the environment variable that makes the test binary run the program in place of the tests.
@@ -18,6 +20,7 @@
 		main()
 		os.Exit(0)
 	}
+	earlysignal.Restore()
 	os.Exit(m.Run())
 }
 
--- a/cmd/docksail/node.go
+++ b/cmd/docksail/node.go
@@ -4,20 +4,16 @@
 	"context"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
 
 	"docksail/internal/asynclog"
+	"docksail/internal/earlysignal"
 	"docksail/internal/node"
 	"docksail/internal/statuslog"
 )
 
-// maxPendingSignals is the number of signals that are buffered while the dispatcher starts.
-const maxPendingSignals = 4
-
 // nodeCommand returns the command node, which runs a dispatcher in service on the platform.
 func nodeCommand() *cobra.Command {
 	c := &cobra.Command{
@@ -37,8 +33,6 @@
 
 // runNode starts a dispatcher and runs until it has ended.
 func runNode(level slog.Level, countsInterval time.Duration) error {
-	signals := make(chan os.Signal, maxPendingSignals) // first, so that no signal during the start is lost
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	config, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -62,8 +56,11 @@
 			if status, ok := dispatcher.Status(); ok {
 				statuslog.Write(log, status)
 			}
-		case s := <-signals:
-			handleNodeSignal(dispatcher, s, log)
+		case s := <-earlysignal.End():
+			log.Info("signal received", "signal", s.String())
+			dispatcher.Drain()
+		case <-earlysignal.Reload():
+			reloadNode(dispatcher, log)
 		case <-dispatcher.Done():
 			log.Info("dispatcher ended", "error", dispatcher.Err())
 			time.Sleep(logFlushTime)
@@ -72,13 +69,8 @@
 	}
 }
 
-// handleNodeSignal reloads the configuration of a dispatcher on SIGHUP and drains the dispatcher on any other signal.
-func handleNodeSignal(dispatcher *node.Node, s os.Signal, log *slog.Logger) {
-	if s != syscall.SIGHUP {
-		log.Info("signal received", "signal", s.String())
-		dispatcher.Drain()
-		return
-	}
+// reloadNode reads the configuration file of a dispatcher again and applies what may change.
+func reloadNode(dispatcher *node.Node, log *slog.Logger) {
 	changed, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		log.Error("configuration not reloaded", "error", err)
--- a/cmd/docksail/serve.go
+++ b/cmd/docksail/serve.go
@@ -5,8 +5,6 @@
 	"errors"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,6 +12,7 @@
 	"docksail/internal/asynclog"
 	"docksail/internal/batchservice"
 	"docksail/internal/config"
+	"docksail/internal/earlysignal"
 	"docksail/internal/grpcnode"
 	"docksail/internal/statusfile"
 )
@@ -81,10 +80,6 @@
 
 // run handles signals and writes the status until the dispatcher has ended. It returns the dispatcher's error.
 func (p *serveProcess) run(countsInterval time.Duration) error {
-	stopSignals := make(chan os.Signal, 2)
-	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
-	reloadSignals := make(chan os.Signal, 1)
-	signal.Notify(reloadSignals, syscall.SIGHUP)
 	var statusFileTicks <-chan time.Time
 	if p.settings.StatusFile != "" {
 		ticker := time.NewTicker(statusFileInterval)
@@ -100,9 +95,9 @@
 			p.logCounts()
 		case <-statusFileTicks:
 			p.writeStatusFile()
-		case <-reloadSignals:
+		case <-earlysignal.Reload():
 			p.reloadTenantLimits()
-		case <-stopSignals:
+		case <-earlysignal.End():
 			if draining {
 				p.node.Kill()
 				return errSecondSignal
