backend/platform: a server gone and back in one change stays known

Before: TestServerGoneAndBackInOneChange fails (server <nil>, 0 by ID). Callers got 503 though there was room, until the server was listed again. Cause: applyListing closed idle connections while the health was still 'gone', and the end of the last connection of such a server removes it. Why it works: the health is set first.

--- a/internal/backend/platform/listupdate.go
+++ b/internal/backend/platform/listupdate.go
@@ -120,11 +120,12 @@
 
 // applyListing updates a server from a valid entry.
 func (b *Backend) applyListing(now eventloop.Nanos, module dispatch.Module, srv *server, l listing) {
-	if srv.listing.addr != l.addr || srv.startedAt < l.startedAt {
-		srv.closeIdleConns() // they lead to another process
-	}
+	isOtherProcess := srv.listing.addr != l.addr || srv.startedAt < l.startedAt
 	srv.listing = l
 	srv.startedAt, srv.role, srv.health = max(l.startedAt, srv.startedAt), b.roles[l.kind], l.health
+	if isOtherProcess {
+		srv.closeIdleConns() // with the new health: the end of the last connection would remove a server that is gone
+	}
 	module.ServerListed(srv.id, policy.ZoneID(l.zone), policy.KindID(l.kind), policy.CellID(l.cell), l.health,
 		min(policy.Nanos(l.startedAt), b.dispatcher.ModuleTime(now)))
 }
