connlimit: a new connection takes a whole token

Before: TestRateOfOneSource: 10,000 of 10,000 connections accepted from one source in 10 s, 112 are meant. Other clients lose processor time to such a flood while connections are scarce. Cause: the bucket is capped at its burst and admitted on any part of a token. Why it works: a connection needs a whole token; 112 accepted.

--- a/internal/decide/connlimit/connlimit.go
+++ b/internal/decide/connlimit/connlimit.go
@@ -136,7 +136,7 @@
 	if state.open >= maxOpen {
 		return SourceLimitReached
 	}
-	if state.tokensUsed >= newConnectionBurst {
+	if state.tokensUsed > newConnectionBurst-1 { // a part of a token admits nothing
 		return SourceRateExceeded
 	}
 	return Accepted
--- a/internal/decide/connlimit/connlimit_test.go
+++ b/internal/decide/connlimit/connlimit_test.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// TestRateOfOneSource guards against a rate limit that hardly limits: while connections are scarce, a source that opens
+// and closes connections in quick succession gets its burst and its rate, and no more.
+func TestRateOfOneSource(t *testing.T) {
+	const seconds = 10
+	l := newLimiter(t, 1000)
+	for i := range 600 {
+		if verdict := l.Accept(0, source(2+i)); verdict != Accepted {
+			t.Fatalf("connection %d of 600 refused: %v", i, verdict)
+		}
+	}
+	accepted := 0
+	for millis := range seconds * 1000 {
+		if l.Accept(int64(millis)*1e6, source(1)) == Accepted {
+			accepted++
+			l.Closed(source(1))
+		}
+	}
+	if want := newConnectionBurst + seconds*newConnectionsPerSecond; accepted > want || accepted < want-2 {
+		t.Errorf("%d of %d connections accepted, want %d", accepted, seconds*1000, want)
+	}
+}
+
 // TestNoLimitBelowHalf checks that a source is not limited while half of the connections are free.
 func TestNoLimitBelowHalf(t *testing.T) {
 	l := newLimiter(t, 1000)
