admission: an earlier time takes no tokens from a tenant

Before: TestClockGoesBack: two of three requests within the burst are rejected. Cause: refillTokens added a negative refill. Why it works: a time that is not later than the last refill adds nothing.

--- a/internal/decide/admission/tenant.go
+++ b/internal/decide/admission/tenant.go
@@ -112,8 +112,11 @@
 	return nil
 }
 
-// refillTokens adds the tokens for the time that has passed since the last refill.
+// refillTokens adds the tokens for the time that has passed since the last refill. A time before that adds none.
 func (t *tenant) refillTokens(now Nanos) {
+	if now <= t.refilledAt {
+		return
+	}
 	if t.RequestsPerSecond > 0 {
 		refill := float64(now-t.refilledAt) / nanosPerSecond * t.RequestsPerSecond
 		t.tokens = min(t.tokens+refill, max(burstSeconds*t.RequestsPerSecond, 1))
