admission: a queue filled at time 0 is measured

Before: TestThroughputFromTimeZero finds no throughput from time 0 on. Cause: time 0 stood for 'no request waits'. Why it works: a field of its own says so.

--- a/internal/decide/admission/retry_test.go
+++ b/internal/decide/admission/retry_test.go
@@ -11,3 +11,19 @@
 		}
 	}
 }
+
+// TestThroughputFromTimeZero guards against a queue that is not measured because its first request came at time 0.
+func TestThroughputFromTimeZero(t *testing.T) {
+	for _, start := range []Nanos{0, sec} {
+		q := newQueue(t, 100, TenantLimits{Weight: 1})
+		for range 20 {
+			q.Enqueue(start, newRequest(0, 1, 100))
+		}
+		for i := range Nanos(10) {
+			sendNext(q, start+(i+1)*100*ms)
+		}
+		if q.interactive.throughput.costPerNano(start+sec) == 0 {
+			t.Errorf("no throughput is measured from time %d on", start)
+		}
+	}
+}
--- a/internal/decide/admission/throughput.go
+++ b/internal/decide/admission/throughput.go
@@ -16,23 +16,24 @@
 // exponentially with the time in which requests wait.
 type throughputMeter struct {
 	timeConstant   Nanos
-	accountedUntil Nanos   // time up to which busyTime and cost are accounted for; 0 while no request waits
+	isBusy         bool    // requests wait
+	accountedUntil Nanos   // time up to which busyTime and cost are accounted for, if isBusy
 	busyTime       float64 // nanoseconds in which requests waited, decayed
 	cost           float64 // cost of the requests sent in that time, decayed
 }
 
 // start records that the queue is no longer empty.
-func (m *throughputMeter) start(now Nanos) { m.accountedUntil = now }
+func (m *throughputMeter) start(now Nanos) { m.isBusy, m.accountedUntil = true, now }
 
 // stop records that the queue is empty.
 func (m *throughputMeter) stop(now Nanos) {
 	m.advance(now)
-	m.accountedUntil = 0
+	m.isBusy = false
 }
 
 // advance accounts for the time up to now, in which requests waited.
 func (m *throughputMeter) advance(now Nanos) {
-	if m.accountedUntil == 0 || now <= m.accountedUntil {
+	if !m.isBusy || now <= m.accountedUntil {
 		return
 	}
 	elapsed := float64(now - m.accountedUntil)
@@ -44,7 +45,7 @@
 
 // record accounts for the cost of a request that was sent. It does nothing while no request waits.
 func (m *throughputMeter) record(now Nanos, cost float64) {
-	if m.accountedUntil == 0 {
+	if !m.isBusy {
 		return
 	}
 	m.advance(now)
