admission: a displacement by a tenant's own limit counts as such

Before: TestDisplacementByTenantLimit: counted as QueueFull, so that operators looked for a full queue. Cause: displace had one reason for both. Why it works: the check that finds the displaced request says why.

--- a/internal/decide/admission/displacement.go
+++ b/internal/decide/admission/displacement.go
@@ -2,10 +2,17 @@
 
 import "slices"
 
+// displacement is a waiting request that has to be removed in favor of another. The zero value is none.
+type displacement struct {
+	request *queuedRequest
+	reason  Verdict
+}
+
 // displacedRequest is a request that was removed in favor of another and has not been rejected yet.
 type displacedRequest struct {
 	Request
-	cost float64
+	cost   float64
+	reason Verdict
 }
 
 // displaceable returns the waiting request of victimTenant to remove in favor of a new request of flow f of tenant t.
@@ -56,9 +63,10 @@
 }
 
 // displace removes a waiting request in favor of another. popDisplaced returns it later.
-func (q *fairQueue) displace(now Nanos, queued *queuedRequest) {
-	q.displacedRequests = append(q.displacedRequests, displacedRequest{queued.Request, queued.cost})
-	queued.flow.tenant.counts.Rejected[QueueFull]++
+func (q *fairQueue) displace(now Nanos, victim displacement) {
+	queued := victim.request
+	q.displacedRequests = append(q.displacedRequests, displacedRequest{queued.Request, queued.cost, victim.reason})
+	queued.flow.tenant.counts.Rejected[victim.reason]++
 	q.remove(now, queued)
 }
 
@@ -70,7 +78,7 @@
 	displaced := q.displacedRequests[0]
 	q.displacedRequests = slices.Delete(q.displacedRequests, 0, 1)
 	t, request := q.tenants[displaced.Tenant], pricedRequest{&displaced.Request, displaced.cost}
-	return displaced.ID, q.reserveRetry(now, t, request, QueueFull, 0), true
+	return displaced.ID, q.reserveRetry(now, t, request, displaced.reason, 0), true
 }
 
 // dropDisplaced discards a displaced request whose client has left.
--- a/internal/decide/admission/fairqueue.go
+++ b/internal/decide/admission/fairqueue.go
@@ -105,7 +105,7 @@
 	t.counts.Arrived++
 	reserved := q.redeemTicket(now, t, request)
 	priced := newPricedRequest(request)
-	displaced, verdict := q.check(now, t, priced, reserved)
+	victim, verdict := q.check(now, t, priced, reserved)
 	if verdict != Queued {
 		t.counts.Rejected[verdict]++
 		if verdict == PromptTooLong { // a retry would not help
@@ -113,8 +113,8 @@
 		}
 		return verdict, q.reserveRetry(now, t, priced, verdict, 0)
 	}
-	if displaced != nil {
-		q.displace(now, displaced)
+	if victim.request != nil {
+		q.displace(now, victim)
 	}
 	if t.RequestsPerSecond > 0 {
 		t.tokens--
@@ -137,32 +137,30 @@
 }
 
 // check returns the verdict on a new request. If it may wait, check also returns the request that has to be displaced
-// for it; nil if none has to.
+// for it, if one has to.
 func (q *fairQueue) check(
 	now Nanos, t *tenant, request pricedRequest, reserved bool,
-) (displaced *queuedRequest, verdict Verdict) {
+) (victim displacement, verdict Verdict) {
 	if t.MaxPromptTokens > 0 && request.PromptTokens > t.MaxPromptTokens {
-		return nil, PromptTooLong
+		return victim, PromptTooLong
 	}
 	t.refillTokens(now)
 	if t.RequestsPerSecond > 0 && t.tokens < 1 && !reserved {
-		return nil, TenantRateExceeded
+		return victim, TenantRateExceeded
 	}
 	f := q.findFlow(now, t, request.Request)
 	if t.MaxWaiting > 0 && t.waiting >= t.MaxWaiting {
-		if displaced = q.displaceable(now, t, t, f, request); displaced == nil {
-			return nil, TenantQueueFull
-		}
+		victim = displacement{q.displaceable(now, t, t, f, request), TenantQueueFull}
+	} else if len(q.requests) >= q.capacity(reserved) {
+		victim = displacement{q.displaceable(now, q.mostLoadedTenant(), t, f, request), QueueFull}
 	}
-	if displaced == nil && len(q.requests) >= q.capacity(reserved) {
-		if displaced = q.displaceable(now, q.mostLoadedTenant(), t, f, request); displaced == nil {
-			return nil, QueueFull
-		}
+	if victim.request == nil && victim.reason != Queued {
+		return victim, victim.reason
 	}
 	if !reserved && q.estimatedWait(now, t, f, request.cost) > latestAdmission(now, request.Request)-now {
-		return nil, TooLate
+		return victim, TooLate
 	}
-	return displaced, Queued
+	return victim, Queued
 }
 
 // capacity returns the number of waiting requests at which the queue is full for a new request. It is lower for one
--- a/internal/decide/admission/retry_test.go
+++ b/internal/decide/admission/retry_test.go
@@ -27,3 +27,21 @@
 		}
 	}
 }
+
+// TestDisplacementByTenantLimit guards against a request that is displaced because of its tenant's own limit and counts
+// as one that found the whole queue full.
+func TestDisplacementByTenantLimit(t *testing.T) {
+	q := newQueue(t, 1000, TenantLimits{Weight: 1, MaxWaiting: 4})
+	makeKnown(q, 0, 0, 1, 2)
+	for range 4 {
+		q.Enqueue(sec, newRequest(0, 1, 100))
+	}
+	if verdict, _ := q.Enqueue(sec, newRequest(0, 2, 100)); verdict != Queued {
+		t.Fatalf("the other client's request is rejected: %v", verdict)
+	}
+	rejected := q.TenantCounts(0).Rejected
+	if rejected[TenantQueueFull] != 1 || rejected[QueueFull] != 0 {
+		t.Errorf("%d rejections count as TenantQueueFull and %d as QueueFull, want 1 and 0",
+			rejected[TenantQueueFull], rejected[QueueFull])
+	}
+}
