admission: a retry is not advised before the time asked for

Before: TestRetryNotBeforeAskedTime: 64 s advised where 100 s were asked for; by reading, up to one slot early at a reserved slot. Clients came back in vain. Cause: the end of all slots was advice by itself, and the slot that contains the time asked for counted. Why it works: a slot has to begin at that time or later, and the advice is at least that long.

--- a/internal/decide/admission/reservations.go
+++ b/internal/decide/admission/reservations.go
@@ -88,7 +88,7 @@
 		heldCost += *holderCost
 		maxHeldCost := claim.weight * maxHolderFraction * capacity * float64(n-first+1)
 		holderFull := heldCost > 0 && heldCost+claim.cost > maxHeldCost
-		if n < claim.notBefore/r.slotLength || holderFull || !s.hasCapacity(claim.cost, capacity) {
+		if n*r.slotLength < claim.notBefore || holderFull || !s.hasCapacity(claim.cost, capacity) {
 			continue
 		}
 		s.cost += claim.cost
@@ -132,8 +132,8 @@
 }
 
 // reserveRetry makes a reservation, if possible, for the retry of a rejected request and returns when its client should
-// retry. To the accuracy of a slot, that is at least minDelay from now and, if the tenant exceeded its rate, not before
-// the rate allows it. It is the horizon of the reservations if none of their slots has capacity.
+// retry. That is at least minDelay from now and, if the tenant exceeded its rate, not before the rate allows it. It is
+// at least the horizon of the reservations if none of their slots has capacity.
 func (q *fairQueue) reserveRetry(
 	now Nanos, t *tenant, request pricedRequest, reason Verdict, minDelay Nanos,
 ) RetryAdvice {
@@ -159,7 +159,7 @@
 	}
 	slot, serial, ok := q.reservations.reserve(now, claim, throughput)
 	if !ok {
-		return RetryAdvice{RetryAfter: q.reservations.horizon()}
+		return RetryAdvice{RetryAfter: max(q.reservations.horizon(), notBefore-now)}
 	}
 	t.counts.ReservationsGranted++
 	return RetryAdvice{
--- a/internal/decide/admission/retry_test.go
+++ b/internal/decide/admission/retry_test.go
@@ -45,3 +45,25 @@
 			rejected[TenantQueueFull], rejected[QueueFull])
 	}
 }
+
+// TestRetryNotBeforeAskedTime guards against advice to retry before the delay that was asked for, at a reserved slot or
+// where no slot has capacity.
+func TestRetryNotBeforeAskedTime(t *testing.T) {
+	q := newQueue(t, 1000, TenantLimits{Weight: 1})
+	for range 40 {
+		q.Enqueue(sec, newRequest(0, 1, 100))
+	}
+	for i := range Nanos(20) {
+		sendNext(q, sec+(i+1)*50*ms)
+	}
+	now := 2 * sec
+	for _, delay := range []Nanos{0, 333 * ms, 1111 * ms, 2*sec + 1, 100 * sec} {
+		for range 8 { // serials spread the retries over a slot
+			advice := q.ReserveRetry(now, newRequest(0, 1, 100), delay)
+			if advice.RetryAfter < delay {
+				t.Errorf("a retry is advised after %d ms (ticket %v), want %d ms or more",
+					advice.RetryAfter/ms, advice.Ticket, delay/ms)
+			}
+		}
+	}
+}
