admission: a reserved retry stays in its slot and is not advised before the time asked for

Now the slot that contains the time asked for is used, and the retry is advised at that time or later in it.

--- a/internal/decide/admission/reservations.go
+++ b/internal/decide/admission/reservations.go
@@ -88,7 +88,7 @@
 		heldCost += *holderCost
 		maxHeldCost := claim.weight * maxHolderFraction * capacity * float64(n-first+1)
 		holderFull := heldCost > 0 && heldCost+claim.cost > maxHeldCost
-		if n*r.slotLength < claim.notBefore || holderFull || !s.hasCapacity(claim.cost, capacity) {
+		if n < claim.notBefore/r.slotLength || holderFull || !s.hasCapacity(claim.cost, capacity) {
 			continue
 		}
 		s.cost += claim.cost
@@ -163,7 +163,7 @@
 	}
 	t.counts.ReservationsGranted++
 	return RetryAdvice{
-		RetryAfter: max(q.reservations.retryTime(slot, serial)-now, 1),
+		RetryAfter: max(q.reservations.retryTime(slot, serial)-now, notBefore-now, 1),
 		Ticket:     &Ticket{Tenant: t.number, Client: request.Client, Slot: slot, Serial: serial},
 	}
 }
