dispatch: the module decides before a late request counts as overdue

Callers were told 'its time is up' by the backstop instead of the module's rejection; operators read of a fault that is not there. Before: TestModuleDecidesInLateIteration: 1 deadline missed, want none. Cause: after a pause of the process both timers are due in one iteration, and timers run before decisions are pulled. Why it works: the backstop waits one iteration, in which the module has seen all events and timers.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -118,8 +118,19 @@
 	}
 }
 
-// answerDeadlineMissed ends a request that is neither answered nor streaming intake.OverdueMarginNanos after its
-// deadline. The module decides every request before that, so each call indicates a bug.
+// answerDeadlinePassed ends a request that is neither answered nor streaming intake.OverdueMarginNanos after its
+// deadline. The module decides every request before that, unless the process was held up: so it first gets the events
+// and timers of this iteration.
+func (req *Request) answerDeadlinePassed(now eventloop.Nanos) {
+	if !req.isOverdue {
+		req.isOverdue = true
+		req.dispatcher.loop.SetTimer(&req.answerTimer, now+1, req.onAnswerDeadline)
+		return
+	}
+	req.answerDeadlineMissed(now)
+}
+
+// answerDeadlineMissed ends a request that the module has not decided. Each call indicates a bug.
 func (req *Request) answerDeadlineMissed(now eventloop.Nanos) {
 	d := req.dispatcher
 	_, outstanding := req.OutstandingAttempt()
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -77,6 +77,7 @@
 	onAttemptTimer   func(eventloop.Nanos)
 	answerTimer      eventloop.Timer // set until the answer has begun or the request is answered
 	onAnswerDeadline func(eventloop.Nanos)
+	isOverdue        bool // answerTimer has fired once
 }
 
 // reset initializes the record for a new request. It reuses the buffers, the timers and the backend's data.
@@ -98,8 +99,9 @@
 	if req.BackendState != nil {
 		req.BackendState.Reset()
 	}
+	req.isOverdue = false
 	if req.onAttemptTimer == nil {
-		req.onAttemptTimer, req.onAnswerDeadline = req.attemptTimerFired, req.answerDeadlineMissed
+		req.onAttemptTimer, req.onAnswerDeadline = req.attemptTimerFired, req.answerDeadlinePassed
 	}
 	if r.CallTimeout > 0 {
 		req.callDeadline = now + r.CallTimeout
