lab soak: a slow request may be closed unread where descriptors are short

The dispatcher never read it, which is excused; the debug log decides it, as on used connections. Other requests on new connections are lost without an answer, as before.

--- a/internal/lab/soak/client.go
+++ b/internal/lab/soak/client.go
@@ -66,6 +66,8 @@
 	dispatcher  *Dispatcher
 	incarnation int
 	isReused    bool // the connection has carried a request before, or was idle
+	// sentInPieces means that the last request was sent with pauses.
+	sentInPieces bool
 
 	// terminatedAtSend is when SIGTERM was sent to the process of the last request before that request, or 0.
 	terminatedAtSend Instant
@@ -90,7 +92,7 @@
 	if c.dispatcher != d || c.incarnation != d.Incarnation() {
 		c.Close()
 	}
-	c.isReused = c.conn != nil
+	c.isReused, c.sentInPieces = c.conn != nil, len(r.Pauses) > 0
 	c.fleet.Oracle.RequestSent(Now(), r.ID, d.Name)
 	if c.conn == nil {
 		if err := c.connect(d); err != nil {
@@ -181,6 +183,13 @@
 	return r
 }
 
+// mayBeClosedUnread reports whether the dispatcher may have closed the connection before it had read the last request:
+// it was idle or, where descriptors are short, one too many or for long without a complete request.
+func (c *Client) mayBeClosedUnread() bool {
+	isShort := c.fleet.MaxDescriptors < defaultMaxDescriptors
+	return c.isReused || c.fleet.HasCrowds || isShort && c.sentInPieces
+}
+
 // checkAnswer adds an outcome to the trace of its request and reports a missing answer to the oracle.
 func (c *Client) checkAnswer(id string, outcome Outcome) clientOutcome {
 	oracle := c.fleet.Oracle
@@ -191,8 +200,7 @@
 	case errors.Is(outcome.Err, errStreamTruncated):
 		oracle.StreamTruncated(id, c.terminatedAtSend)
 	case outcome.Started, outcome.Err == nil: // rejected or failed
-	case (c.isReused || c.fleet.HasCrowds) && !errors.Is(outcome.Err, os.ErrDeadlineExceeded):
-		// The dispatcher may have closed the connection, which was idle or one too many, before it read the request.
+	case c.mayBeClosedUnread() && !errors.Is(outcome.Err, os.ErrDeadlineExceeded):
 		oracle.AnswerMissingUnlessUnread(id, outcome.Err.Error())
 	default:
 		oracle.AnswerMissing(id, outcome.Err.Error())
