admission: a rejection does not use up a ticket

Before: TestRejectionKeepsTicket: the rejected request gets neither its ticket nor another. Its client had waited for its slot and began anew among all others. Cause: the ticket was redeemed before the queue was looked at. Why it works: a rejected request gets a new ticket or, if none can be made, keeps its own for as long as that is valid.

--- a/internal/decide/admission/fairqueue.go
+++ b/internal/decide/admission/fairqueue.go
@@ -111,7 +111,11 @@
 		if verdict == PromptTooLong { // a retry would not help
 			return verdict, RetryAdvice{}
 		}
-		return verdict, q.reserveRetry(now, t, priced, verdict, 0)
+		advice := q.reserveRetry(now, t, priced, verdict, 0)
+		if reserved && advice.Ticket == nil {
+			advice = q.keepTicket(now, t, request.Ticket, advice)
+		}
+		return verdict, advice
 	}
 	if victim.request != nil {
 		q.displace(now, victim)
@@ -136,6 +140,14 @@
 	return true
 }
 
+// keepTicket returns the advice for a rejected request that presented a ticket and gets no new one: its client may
+// present the ticket again while it is valid.
+func (q *fairQueue) keepTicket(now Nanos, t *tenant, ticket *Ticket, advice RetryAdvice) RetryAdvice {
+	validFor := q.reservations.restore(now, ticket)
+	t.counts.ReservationsRedeemed--
+	return RetryAdvice{RetryAfter: min(advice.RetryAfter, validFor), Ticket: ticket}
+}
+
 // check returns the verdict on a new request. If it may wait, check also returns the request that has to be displaced
 // for it, if one has to.
 func (q *fairQueue) check(
--- a/internal/decide/admission/reservations.go
+++ b/internal/decide/admission/reservations.go
@@ -125,6 +125,13 @@
 	return true
 }
 
+// restore makes a ticket that was redeemed now valid again. It returns how long it is valid, at least 1 ns.
+func (r *reservationTable) restore(now Nanos, ticket *Ticket) Nanos {
+	s := &r.slots[ticket.Slot%slotCount]
+	s.redeemed[ticket.Serial/64] &^= uint64(1) << (ticket.Serial % 64)
+	return max((ticket.Slot+lateSlots+1)*r.slotLength-1-now, 1)
+}
+
 // retryTime returns when the client of a reservation should retry. The retries of a slot are spread over its length.
 func (r *reservationTable) retryTime(slot int64, serial uint32) Nanos {
 	_, fraction := math.Modf(float64(serial) * goldenRatioFraction)
--- a/internal/decide/admission/retry_test.go
+++ b/internal/decide/admission/retry_test.go
@@ -67,3 +67,48 @@
 		}
 	}
 }
+
+// TestRejectionKeepsTicket guards against a ticket that is used up by a rejection: the request that presented it has to
+// get another one, or may present it again.
+func TestRejectionKeepsTicket(t *testing.T) {
+	q := newQueue(t, 8, TenantLimits{Weight: 1})
+	makeKnown(q, 0, 0, 1, 2, 3)
+	for range 7 {
+		q.Enqueue(sec, newRequest(0, 9, 100))
+	}
+	for i := range Nanos(7) {
+		sendNext(q, sec+(i+1)*50*ms)
+	}
+	now := 2 * sec
+	present := func(client uint64, ticket *Ticket) (Verdict, RetryAdvice) {
+		request := newRequest(0, client, 100)
+		request.Ticket = ticket
+		return q.Enqueue(now, request)
+	}
+	first, second := q.ReserveRetry(now, newRequest(0, 1, 100), 0).Ticket, q.ReserveRetry(now, newRequest(0, 2, 100), 0).Ticket
+	if first == nil || second == nil {
+		t.Fatalf("tickets %v and %v, want two", first, second)
+	}
+	now = max(first.Slot, second.Slot) * q.interactive.reservations.slotLength
+	for i := range uint64(7) {
+		if verdict, _ := present(100+i, nil); verdict != Queued {
+			t.Fatalf("request %d of 7 is rejected: %v", i, verdict)
+		}
+	}
+	if verdict, _ := present(1, first); verdict != Queued {
+		t.Fatalf("the request for which room is kept is rejected: %v", verdict)
+	}
+	q.interactive.fifo = true               // so that no waiting request gives way
+	q.interactive.reservations.signer = nil // so that no further reservation is made
+	verdict, advice := present(2, second)
+	if verdict != QueueFull || advice.Ticket == nil || *advice.Ticket != *second {
+		t.Fatalf("verdict %v, ticket %v; want a full queue and the same ticket", verdict, advice.Ticket)
+	}
+	for range 4 {
+		admitNext(q, now)
+	}
+	if verdict, _ := present(2, advice.Ticket); verdict != Queued || q.TenantCounts(0).ReservationsInvalid > 0 {
+		t.Errorf("verdict %v, %d tickets invalid; want the request queued with its ticket",
+			verdict, q.TenantCounts(0).ReservationsInvalid)
+	}
+}
