--- a/internal/decide/admission/retry_test.go
+++ b/internal/decide/admission/retry_test.go
@@ -85,7 +85,8 @@
 		request.Ticket = ticket
 		return q.Enqueue(now, request)
 	}
-	first, second := q.ReserveRetry(now, newRequest(0, 1, 100), 0).Ticket, q.ReserveRetry(now, newRequest(0, 2, 100), 0).Ticket
+	first := q.ReserveRetry(now, newRequest(0, 1, 100), 0).Ticket
+	second := q.ReserveRetry(now, newRequest(0, 2, 100), 0).Ticket
 	if first == nil || second == nil {
 		t.Fatalf("tickets %v and %v, want two", first, second)
 	}
--- a/internal/dispatch/lateiteration_test.go
+++ b/internal/dispatch/lateiteration_test.go
@@ -14,7 +14,8 @@
 type retryingModule struct{ scriptedModule }
 
 func (m *retryingModule) AttemptEnded(
-	_ policy.Nanos, id policy.RequestID, _ policy.AttemptNumber, _ policy.Outcome, _ policy.Nanos, _ bool, _ policy.LoadReport,
+	_ policy.Nanos, id policy.RequestID, _ policy.AttemptNumber, _ policy.Outcome, _ policy.Nanos, _ bool,
+	_ policy.LoadReport,
 ) {
 	m.decisions = append(m.decisions, policy.Decision{Action: policy.RejectRequest, Request: id})
 }
