lab soak: the log decides about new connections where descriptors are short

Trace: all four dispatchers were restarting, 32 clients met on the one that was up, its counts went to ConnectionLimitHits 7 and ConnectionsRefused 1 in that half second: a crowd, in which new connections may be shut unread. Whether a request was read is decided by the debug log in all runs with few descriptors; with 1,024 a request on a new connection that gets no answer is lost, read or not, as before.

--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet.MaxDescriptors, fleet.HasCrowds = plan.maxDescriptors, plan.hasCrowds
+	fleet.MaxDescriptors = plan.maxDescriptors
 	fleet.Oracle.ReleasesRemoveAwaitedStates = plan.releasesRemoveAwaitedStates
 	if s.DispatcherProgram != nil {
 		fleet.dispatcherProgram = s.DispatcherProgram
