eventloop: a pause of accepting outlasts one for lack of descriptors

Before: TestPauseOutlastsShortage: 1 connection accepted while accepting is paused. Callers could be routed by the list of an earlier process: accepting waits for the first list. Cause: the end of the shortage's pause set the interest by itself. Why it works: one place sets it, from both reasons.

--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -32,7 +32,8 @@
 	addr        netip.AddrPort
 	onAccept    AcceptFunc
 	accept4     func(fd, flags int) (int, unix.Sockaddr, error) // the system call, replaced by tests
-	resumeTimer Timer
+	resumeTimer Timer // set while accepting is paused for lack of descriptors or kernel memory
+	isPaused    bool  // SetAcceptPaused has paused accepting
 
 	sim simulatedListener
 }
@@ -107,8 +108,14 @@
 	if ln.fd < 0 {
 		return
 	}
+	ln.isPaused = paused
+	ln.updateInterest()
+}
+
+// updateInterest makes the loop report pending connections unless accepting is paused for one reason or the other.
+func (ln *Listener) updateInterest() {
 	events := uint32(unix.EPOLLIN)
-	if paused {
+	if ln.isPaused || ln.resumeTimer.IsSet() {
 		events = 0
 	}
 	ln.loop.setInterest(ln.fd, events)
@@ -187,6 +194,6 @@
 func (ln *Listener) pauseAccepting() {
 	l := ln.loop
 	l.acceptPauseCount++
-	l.setInterest(ln.fd, 0)
-	l.SetTimer(&ln.resumeTimer, l.now+int64(acceptPause), func(Nanos) { l.setInterest(ln.fd, unix.EPOLLIN) })
+	l.SetTimer(&ln.resumeTimer, l.now+int64(acceptPause), func(Nanos) { ln.updateInterest() })
+	ln.updateInterest()
 }
--- a/internal/eventloop/listener_test.go
+++ b/internal/eventloop/listener_test.go
@@ -75,6 +75,43 @@
 	waitUntil(t, onLoop, "accepted again", func() bool { return accepted.Load() > 0 })
 }
 
+// TestPauseOutlastsShortage guards against accepting that was paused on purpose and is resumed by the end of a pause for
+// lack of descriptors.
+func TestPauseOutlastsShortage(t *testing.T) {
+	l, onLoop := startLoop(t)
+	var accepted atomic.Int64
+	ln := listen(t, l, onLoop, func(c *Conn) Handler { accepted.Add(1); return &connRecorder{conn: c} })
+	calls := 0
+	onLoop(func() {
+		ln.accept4 = func(fd, flags int) (int, unix.Sockaddr, error) {
+			if calls++; calls == 1 {
+				ln.SetAcceptPaused(true) // between the shortage and its end
+				return -1, nil, unix.ENFILE
+			}
+			return unix.Accept4(fd, flags)
+		}
+	})
+	c, err := net.DialTimeout("tcp", ln.Addr().String(), 5*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	waitUntil(t, onLoop, "accepting paused", func() bool { return l.AcceptPauseCount() == 1 })
+	ended := make(chan struct{})
+	onLoop(func() { // runs after the timer that ends the pause, which was set earlier for the same time
+		var timer Timer
+		l.SetTimer(&timer, ln.resumeTimer.due+1, func(Nanos) { close(ended) })
+	})
+	<-ended
+	onLoop(func() {})
+	onLoop(func() {})
+	if n := accepted.Load(); n > 0 {
+		t.Errorf("%d connections accepted while accepting is paused", n)
+	}
+	onLoop(func() { ln.SetAcceptPaused(false) })
+	waitUntil(t, onLoop, "accepted", func() bool { return accepted.Load() == 1 })
+}
+
 // TestAcceptAfterTransientError checks that a pending connection is accepted, not closed, after accept has failed once
 // with an error other than that the process has no descriptor left.
 func TestAcceptAfterTransientError(t *testing.T) {
