backend/platform: the last load report of a chunk counts

Before: TestLoadReportLine fails for two of seven chunks: a report after an event that looks like one is missed, and of two reports the older one counts. Callers: placement by older figures. Cause: only the first occurrence was looked at. Why it works: the last occurrence that begins a line is the newest report.

--- a/internal/backend/platform/loadreport.go
+++ b/internal/backend/platform/loadreport.go
@@ -15,14 +15,19 @@
 // loadReportPrefix begins the comment line of an event stream that carries a load report.
 var loadReportPrefix = []byte(": X-Pressure: ")
 
-// loadReportLine returns the first load report in a chunk of an event stream, or nil.
+// loadReportLine returns the last load report in a chunk of an event stream, or nil. A report is a whole line.
 func loadReportLine(chunk []byte) []byte {
-	i := bytes.Index(chunk, loadReportPrefix)
-	if i < 0 || i > 0 && chunk[i-1] != '\n' {
-		return nil
+	for {
+		i := bytes.LastIndex(chunk, loadReportPrefix)
+		if i < 0 {
+			return nil
+		}
+		if i == 0 || chunk[i-1] == '\n' {
+			line, _, _ := bytes.Cut(chunk[i+len(loadReportPrefix):], []byte{'\n'})
+			return bytes.TrimSpace(line)
+		}
+		chunk = chunk[:i]
 	}
-	line, _, _ := bytes.Cut(chunk[i+len(loadReportPrefix):], []byte{'\n'})
-	return bytes.TrimSpace(line)
 }
 
 // recordLoadReport records a load report of the server, a JSON object of numbers. An invalid report is ignored.
