backend/platform: a list object is held to its limit when it is complete too

Before: TestObjectLimitOfLastPiece: no error, the object is handled. Cause: the limit was compared only while an object was incomplete. Why it works: the complete text is compared before it is handled.

--- a/internal/backend/platform/jsonobjects.go
+++ b/internal/backend/platform/jsonobjects.go
@@ -22,8 +22,8 @@
 func (s *objectSplitter) atBoundary() bool { return s.depth == 0 }
 
 // feed takes the next piece of the stream and calls handle for each object that p completes. It returns the first error
-// of handle, an error if anything but white space is between two objects, and h1.ErrBodyTooLarge for an incomplete
-// object longer than maxListObjectBytes.
+// of handle, an error if anything but white space is between two objects, and h1.ErrBodyTooLarge for an object longer
+// than maxListObjectBytes.
 func (s *objectSplitter) feed(p []byte, handle func(text []byte) error) error {
 	start := 0 // index in p of the start of the open object
 	for i, c := range p {
@@ -87,6 +87,9 @@
 		s.partial = append(s.partial, end...)
 		text = s.partial
 	}
+	if len(text) > maxListObjectBytes {
+		return h1.ErrBodyTooLarge
+	}
 	if err := handle(text); err != nil {
 		return err
 	}
--- a/internal/backend/platform/jsonobjects_test.go
+++ b/internal/backend/platform/jsonobjects_test.go
@@ -43,3 +43,19 @@
 		t.Errorf("object without an end: got error %v, want %v", err, h1.ErrBodyTooLarge)
 	}
 }
+
+// TestObjectLimitOfLastPiece guards against an object that is longer than permitted and is accepted because its last
+// piece completes it.
+func TestObjectLimitOfLastPiece(t *testing.T) {
+	var splitter objectSplitter
+	handled := 0
+	handle := func([]byte) error { handled++; return nil }
+	start := append([]byte(`{"a":"`), bytes.Repeat([]byte{'x'}, maxListObjectBytes-10)...)
+	if err := splitter.feed(start, handle); err != nil {
+		t.Fatal(err)
+	}
+	err := splitter.feed(append(bytes.Repeat([]byte{'x'}, 100), '"', '}'), handle)
+	if !errors.Is(err, h1.ErrBodyTooLarge) || handled > 0 {
+		t.Errorf("error %v, %d objects handled; want %v and none", err, handled, h1.ErrBodyTooLarge)
+	}
+}
