simulatorwire: an invalid entry is an error for an unknown instance too

Before: TestInvalidInput, case 'invalid health "UP"' of an instance that was not started: no error. Cause: the entry of an unknown instance returned before its error was looked at. Why it works: the error is returned; the other messages do so already (VANISHED and DEADLINE_HIT in the same test).

--- a/internal/simulatorwire/adapter_test.go
+++ b/internal/simulatorwire/adapter_test.go
@@ -51,6 +51,7 @@
 		startBatch + "SYNC 2\n" + strings.Replace(requestLine, "ask", "beg", 1) + "EOB\n": `invalid tier_class "beg"`,
 		startBatch + "SYNC 2\nVERDICT 3 9 0 11 Fine 1 0 0 -\nEOB\n":                       `invalid rc "Fine"`,
 		startBatch + "SYNC 2\nFLEET 3 update 2 1\nENTRY 11 b r 0 IN 1 -\nEOB\n":           `invalid site "b"`,
+		"SYNC 1\nFLEET 3 update 2 1\nENTRY 11 a r 0 UP 1 -\nEOB\n":                        `invalid health "UP"`,
 
 		strings.Replace(startBatch, `"release_ns":500000000,`, "", 1): "release_ns is missing",
 
--- a/internal/simulatorwire/events.go
+++ b/internal/simulatorwire/events.go
@@ -247,7 +247,7 @@
 	m.optionalInteger("units")
 	started := m.optionalInteger("launched_ns")
 	if dispatcher == nil {
-		return nil
+		return m.err
 	}
 	zone, kind := m.indexOf("site", dispatcher.Zones, zoneName), m.indexOf("hw", dispatcher.Kinds, kindName)
 	if m.err != nil {
