dispatch: a request that is not repeated is told that, not that its time is up

Before: TestReasonOfFailureBeforeDeadline: 'its time is up' half a second before the deadline. Callers looked for a slow service. Cause: one reason for every failure of the module. Why it works: before the deadline the module fails only what may have run and must not be repeated.

--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -145,6 +145,17 @@
 	}
 }
 
-// deadlineExceededReason is the reason that clients receive if the module fails a request, or does not decide it before
-// its deadline.
-const deadlineExceededReason = "its time is up"
+// The reasons that clients receive for a request that the module fails, or does not decide before its deadline.
+const (
+	deadlineExceededReason = "its time is up"
+	mayHaveRunReason       = "it may have run and is not sent again"
+)
+
+// failureReason returns the reason of a request that the module fails now: before its deadline it does so only for one
+// whose repetition may do harm.
+func failureReason(now policy.Nanos, req *Request) string {
+	if now < req.policyRequest.Deadline {
+		return mayHaveRunReason
+	}
+	return deadlineExceededReason
+}
--- a/internal/dispatch/decisions.go
+++ b/internal/dispatch/decisions.go
@@ -53,7 +53,7 @@
 	case policy.RejectRequest:
 		d.reject(req, d.admission.policyRejection(now, req, int64(decision.Duration)))
 	case policy.FailRequest:
-		d.fail(req, deadlineExceededReason)
+		d.fail(req, failureReason(d.ModuleTime(now), req))
 	case policy.ReleaseState:
 		d.releaseState(now, req, "decision")
 	default:
