backend/grpc: a release without a free stream counts as lost

Before: TestReleaseWithoutFreeStream: 0 lost, want 2. Operators read too low a ReleasesLost. Cause: the branch had no other side. Why it works: it is counted and logged as the other ways to lose one are.

--- a/internal/backend/grpc/release.go
+++ b/internal/backend/grpc/release.go
@@ -36,6 +36,8 @@
 	for _, release := range s.releases {
 		if c.http2.CanOpenStream() {
 			c.sendRelease(release)
+		} else {
+			s.recordReleaseLost(release, "no free stream")
 		}
 	}
 	s.releases = s.releases[:0]
--- a/internal/backend/grpc/release_test.go
+++ b/internal/backend/grpc/release_test.go
@@ -22,3 +22,18 @@
 		}
 	}
 }
+
+// TestReleaseWithoutFreeStream guards against releases that are dropped without being counted because the new connection
+// for which they waited has no free stream.
+func TestReleaseWithoutFreeStream(t *testing.T) {
+	d := &dispatch.Dispatcher{}
+	b := &Backend{dispatcher: d, log: slog.New(slog.DiscardHandler)}
+	s := &server{backend: b, releases: []pendingRelease{{1, 0}, {2, 0}}}
+	c := &conn{backend: b, server: s}
+	c.http2 = h2.NewClientConn(h2.DefaultLimits, c)
+	c.http2.TransportClosed()
+	s.sendPendingReleases(c)
+	if d.Counts.ReleasesLost != 2 || len(s.releases) != 0 {
+		t.Errorf("%d releases lost, %d wait; want 2 and none", d.Counts.ReleasesLost, len(s.releases))
+	}
+}
