config: errors show durations as durations

Before: TestDurationsInErrors fails for four fields ('is -1.5e+09'). Operators read nanoseconds. Cause: the check took every value as a plain number.

--- a/internal/backend/grpc/release_test.go
+++ b/internal/backend/grpc/release_test.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// TestReleaseWithoutFreeStream guards against releases that are dropped without being counted because the new connection
+// TestReleaseWithoutFreeStream guards against releases that are dropped without being counted, because the connection
 // for which they waited has no free stream.
 func TestReleaseWithoutFreeStream(t *testing.T) {
 	d := &dispatch.Dispatcher{}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"time"
 
 	"docksail/policy"
 )
@@ -19,8 +20,11 @@
 type reportFunc func(path, format string, args ...any)
 
 // requirePositive reports a value that is not greater than 0.
-func (report reportFunc) requirePositive(path string, value float64) {
-	if value <= 0 {
+func requirePositive[T int | int64 | float64 | time.Duration](report reportFunc, path string, value T) {
+	switch {
+	case value == 0:
+		report(path, "is 0, must be greater than 0")
+	case value < 0:
 		report(path, "is %v, must be greater than 0", value)
 	}
 }
@@ -60,7 +64,7 @@
 	if d.Watch.IsValid() == (d.File != "") {
 		report("fleet", "must have either watch or file")
 	}
-	report.requirePositive("fleet.ask_within", float64(d.MaxListInterval))
+	requirePositive(report, "fleet.ask_within", d.MaxListInterval)
 }
 
 func (d *Dispatcher) checkClasses(report reportFunc) {
@@ -71,13 +75,13 @@
 	for i, class := range d.Classes {
 		path := fmt.Sprintf("classes[%d]", i)
 		report.requireUniqueName(path+".name", class.Name, names)
-		report.requirePositive(path+".target", float64(class.LatencyTarget))
-		report.requirePositive(path+".token_gap", float64(class.InterTokenTarget))
+		requirePositive(report, path+".target", class.LatencyTarget)
+		requirePositive(report, path+".token_gap", class.InterTokenTarget)
 		if class.Timeout < class.LatencyTarget {
 			report(path+".timeout", "is %v, must be at least the target, %v", class.Timeout, class.LatencyTarget)
 		}
 		if policy.Idempotency(class.Idempotency) == policy.Deduplicated {
-			report.requirePositive(path+".window", float64(class.DedupWindow))
+			requirePositive(report, path+".window", class.DedupWindow)
 		}
 	}
 }
@@ -88,7 +92,7 @@
 	for i, tenant := range d.Tenants {
 		path := fmt.Sprintf("tenants[%d]", i)
 		report.requireUniqueName(path+".name", tenant.Name, names)
-		report.requirePositive(path+".requests_per_second", tenant.RequestsPerSecond)
+		requirePositive(report, path+".requests_per_second", tenant.RequestsPerSecond)
 		if tenant.Weight < 0 || tenant.MaxRequestsPerSecond < 0 || tenant.MaxWaiting < 0 || tenant.MaxRunning < 0 ||
 			tenant.MaxPromptTokens < 0 {
 			report(path, "has a weight or limit below 0, must be at least 0 (0 = default)")
@@ -104,8 +108,8 @@
 	if s.OverloadFactor < 1 {
 		report("cold_start.overload_factor", "is %v, must be at least 1", s.OverloadFactor)
 	}
-	report.requirePositive("cold_start.warm_after", float64(s.WarmupTime))
-	report.requirePositive("cold_start.overload_window", float64(s.OverloadWindow))
+	requirePositive(report, "cold_start.warm_after", s.WarmupTime)
+	requirePositive(report, "cold_start.overload_window", s.OverloadWindow)
 }
 
 // checkAttempts checks the limits and times of attempts, releases, answers and the drain.
@@ -114,13 +118,13 @@
 		report("attempts.most", "is %d, must be at least %d: one for prefill, one for decode",
 			d.Attempts.MaxAttempts, minAttempts)
 	}
-	report.requirePositive("attempts.connect_within", float64(d.Attempts.ConnectTimeout))
-	report.requirePositive("rules.release_within", float64(d.Rules.ReleaseTime))
-	report.requirePositive("answers.round", float64(d.Responses.RoundInterval))
+	requirePositive(report, "attempts.connect_within", d.Attempts.ConnectTimeout)
+	requirePositive(report, "rules.release_within", d.Rules.ReleaseTime)
+	requirePositive(report, "answers.round", d.Responses.RoundInterval)
 	if d.Responses.AnswerLeadTime < 0 {
 		report("answers.ahead", "is %v, must be at least 0", d.Responses.AnswerLeadTime)
 	}
-	report.requirePositive("drain_within", float64(d.DrainTimeout))
+	requirePositive(report, "drain_within", d.DrainTimeout)
 }
 
 func (b *Batch) check(report reportFunc, tenantNames map[string]bool) {
@@ -130,12 +134,12 @@
 	if b.QuotaBytes < 0 || b.FileRetention < 0 {
 		report("batch", "quota_bytes or keep_files is below 0, must be at least 0 (0 = unlimited)")
 	}
-	report.requirePositive("batch.file_bytes", float64(b.MaxFileBytes))
-	report.requirePositive("batch.line_bytes", float64(b.MaxLineBytes))
-	report.requirePositive("batch.lines", float64(b.MaxLines))
-	report.requirePositive("batch.lines_out", float64(b.MaxLinesInFlight))
-	report.requirePositive("batch.again_after", float64(b.InitialBackoff))
-	report.requirePositive("batch.longest_window", float64(b.MaxCompletionWindow))
+	requirePositive(report, "batch.file_bytes", b.MaxFileBytes)
+	requirePositive(report, "batch.line_bytes", b.MaxLineBytes)
+	requirePositive(report, "batch.lines", b.MaxLines)
+	requirePositive(report, "batch.lines_out", b.MaxLinesInFlight)
+	requirePositive(report, "batch.again_after", b.InitialBackoff)
+	requirePositive(report, "batch.longest_window", b.MaxCompletionWindow)
 	for i, key := range b.Keys {
 		path := fmt.Sprintf("batch.keys[%d]", i)
 		if hash, err := hex.DecodeString(key.Hash); err != nil || len(hash) != sha256.Size {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -114,7 +114,9 @@
 // Rules holds the time limits that all dispatchers and engines of the fleet have in common.
 type Rules struct {
 	ReleaseTime time.Duration `json:"release_within" need:"the time in which KV state is fetched or released"`
-	DrainGrace  time.Duration `json:"drain_grace"` // for which attempts may follow the notice that a server drains
+	// DrainGrace is how long attempts may follow the notice that a server drains. A dispatcher sends none from the notice
+	// on, whatever the value; the laboratory judges by it.
+	DrainGrace time.Duration `json:"drain_grace"`
 }
 
 // Limits bounds the resources of the dispatcher. A field that is not set has its value in Default.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,22 @@
 	}
 }
 
+// TestDurationsInErrors guards against errors that show a duration in nanoseconds.
+func TestDurationsInErrors(t *testing.T) {
+	for from, want := range map[string]string{
+		`"target": "1s"`:            `classes[0].target: is -1.5s, must be greater than 0`,
+		`"window": "3s"`:            `classes[1].window: is -1.5s, must be greater than 0`,
+		`"warm_after": "10s"`:       `cold_start.warm_after: is -1.5s, must be greater than 0`,
+		`"release_within": "500ms"`: `rules.release_within: is -1.5s, must be greater than 0`,
+	} {
+		name, _, _ := strings.Cut(from, ":")
+		_, err := Parse("x", []byte(strings.Replace(validText, from, name+`: "-1.5s"`, 1)))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("error %v, want one with %q", err, want)
+		}
+	}
+}
+
 // TestErrorsHideKeys guards against errors that show what stands where the hash of an API key should: often the key.
 func TestErrorsHideKeys(t *testing.T) {
 	for _, keys := range []string{
