--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -126,14 +126,19 @@
 	for prefillEngines[0].HeldStates()+prefillEngines[1].HeldStates() == 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
+	crashed := 0
 	for _, e := range prefillEngines {
 		if e.HeldStates() > 0 {
+			crashed++
 			e.Crash()
 			if err := e.Start(""); err != nil {
 				t.Fatal(err)
 			}
 		}
 	}
+	if crashed != 1 {
+		t.Fatalf("%d prefill servers held the state and crashed, want 1", crashed)
+	}
 	setDraining(deployment, false, 3, 4)
 	got := <-result
 	code := got.status.Code()
