lab/faultproxy: a reset while the server is dialed leaks nothing

Before: TestResetWhileDialing: the connection to the server is open 5 s after its client's was reset. Cause: the end closed what was there, the dial attached its result later. Why it works: ending and attaching exclude each other under one lock, and what comes late is closed.

--- a/internal/lab/faultproxy/conn.go
+++ b/internal/lab/faultproxy/conn.go
@@ -23,12 +23,12 @@
 // close closes both connections, either with a reset or gracefully.
 func (c *proxyConn) close(reset bool) {
 	c.closeOnce.Do(func() {
+		server := c.proxy.remove(c)
 		closeConn(c.client, reset)
-		if c.server != nil {
-			closeConn(c.server, reset)
+		if server != nil {
+			closeConn(server, reset)
 		}
 		c.recorder.Closed()
-		c.proxy.remove(c)
 	})
 }
 
--- a/internal/lab/faultproxy/proxy.go
+++ b/internal/lab/faultproxy/proxy.go
@@ -17,9 +17,9 @@
 
 // Proxy forwards the connections from one dispatcher to one server.
 type Proxy struct {
-	target     string // address of the server
-	server     int    // number of the server in log entries
-	dispatcher int    // index of the dispatcher in log entries
+	dialServer func() (net.Conn, error)
+	server     int // number of the server in log entries
+	dispatcher int // index of the dispatcher in log entries
 	log        *eventlog.Log
 	listener   net.Listener
 
@@ -40,7 +40,8 @@
 		return nil, fmt.Errorf("proxy for server %d: %w", server, err)
 	}
 	p := &Proxy{
-		target: target, server: server, dispatcher: dispatcher, log: log,
+		dialServer: func() (net.Conn, error) { return net.DialTimeout("tcp", target, dialTimeout) },
+		server:     server, dispatcher: dispatcher, log: log,
 		listener: listener, conns: map[*proxyConn]bool{},
 	}
 	go p.acceptLoop()
@@ -130,10 +131,12 @@
 	return p.blackhole, true
 }
 
-func (p *Proxy) remove(c *proxyConn) {
+// remove unregisters a connection, to which no server can be attached any more, and returns its server, if any.
+func (p *Proxy) remove(c *proxyConn) *net.TCPConn {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	delete(p.conns, c)
-	p.mu.Unlock()
+	return c.server
 }
 
 // serve forwards one connection from the dispatcher to the server until either side closes it.
@@ -148,15 +151,31 @@
 		c.relay(client, nil, c.recorder.Sent)
 		return
 	}
-	conn, err := net.DialTimeout("tcp", p.target, dialTimeout)
+	p.mu.Lock()
+	dialServer := p.dialServer
+	p.mu.Unlock()
+	conn, err := dialServer()
 	if err != nil {
 		c.close(true)
 		return
 	}
 	server := conn.(*net.TCPConn)
-	p.mu.Lock()
-	c.server = server
-	p.mu.Unlock()
+	if !p.attachServer(c, server) {
+		closeConn(server, true)
+		return
+	}
 	go c.relay(server, client, c.recorder.Received)
 	c.relay(client, server, c.recorder.Sent)
 }
+
+// attachServer records the connection to the server, unless the client's connection was closed while the server was
+// dialed.
+func (p *Proxy) attachServer(c *proxyConn, server *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.conns[c] {
+		return false
+	}
+	c.server = server
+	return true
+}
--- a/internal/lab/faultproxy/proxy_test.go
+++ b/internal/lab/faultproxy/proxy_test.go
@@ -153,3 +153,49 @@
 		t.Error(err)
 	}
 }
+
+// TestResetWhileDialing guards against a connection to the server that stays open because its client's connection was
+// reset while the server was dialed.
+func TestResetWhileDialing(t *testing.T) {
+	p := startProxy(t)
+	dialing, mayConnect := make(chan struct{}), make(chan struct{})
+	servers := make(chan net.Conn, 1)
+	p.mu.Lock()
+	p.dialServer = func() (net.Conn, error) {
+		close(dialing)
+		<-mayConnect
+		here, there := tcpPair(t)
+		servers <- there
+		return here, nil
+	}
+	p.mu.Unlock()
+	dial(t, p)
+	<-dialing
+	p.ResetConns()
+	close(mayConnect)
+	server := <-servers
+	if err := server.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := server.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the connection to the server is open after its client's was reset: %v", err)
+	}
+}
+
+// tcpPair returns the two ends of a connection.
+func tcpPair(t *testing.T) (here, there net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	if here, err = net.Dial("tcp", listener.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if there, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { there.Close() })
+	return here, there
+}
