lab/scenario: a negative moves_per_second is an error of the script

Before: TestScriptErrors accepts it; the run panicked. Cause: the field was not checked. Why it works: an error names it; 0 is the default, as before.

--- a/internal/lab/scenario/parse.go
+++ b/internal/lab/scenario/parse.go
@@ -52,6 +52,9 @@
 	if g.Count < 1 || g.Slots < 1 || g.RequestsPerSecond <= 0 {
 		report(path, "count, slots and requests_per_second must be above 0")
 	}
+	if g.TransferRate < 0 { // 0 = default
+		report(path+".moves_per_second", "is %v, must be at least 0", g.TransferRate)
+	}
 	if g.Role != Decode && g.PrefillRate <= 0 {
 		report(path+".reads_per_second", "is %v, must be above 0 for a server that prefills", g.PrefillRate)
 	}
