lab/userclient, simulation: clients retry until the deadline of a long prompt

Before: TestRetryUntilDeadline: no retry after 5 s although the deadline is after 11 s. Experiments counted requests with long prompts as rejected too early. Cause: the class's timeout without its part for the prompt's length. Why it works: both use the request's timeout, as their attempts do.

--- a/internal/lab/simulation/session.go
+++ b/internal/lab/simulation/session.go
@@ -166,7 +166,7 @@
 	if o.retryAfter < 0 { // the dispatcher forbids a retry
 		mayRetry = mayRetry && o.isConnectionLost
 	}
-	if mayRetry && s.attemptNumber < class.MaxRetries && now-s.requestStart+wait < int64(class.Timeout) {
+	if mayRetry && s.attemptNumber < class.MaxRetries && now-s.requestStart+wait < s.timeout() {
 		s.attemptNumber++
 		g.loop.SetTimer(&s.nextTimer, now+wait, func(eventloop.Nanos) { s.sendAttempt() })
 		return
--- a/internal/lab/userclient/request.go
+++ b/internal/lab/userclient/request.go
@@ -114,7 +114,7 @@
 	} else if q.reservation == "" {
 		wait = time.Duration(float64(wait) * (1 + retryJitter*q.rng.Float64()))
 	}
-	return retry && number < q.class.MaxRetries && time.Since(q.due)+wait < q.class.Timeout, wait
+	return retry && number < q.class.MaxRetries && time.Since(q.due)+wait < q.class.timeout(q.req), wait
 }
 
 // countFailure counts a request that was not served and will not be retried.
--- a/internal/lab/userclient/userclient_test.go
+++ b/internal/lab/userclient/userclient_test.go
@@ -70,7 +70,7 @@
 			test.class.Name, test.class.MaxRetries, test.class.Timeout = "class", 3, time.Minute
 			r := &loadRunner{clients: map[string][][]pb.GenerationClient{"class": make([][]pb.GenerationClient, 2)}}
 			s := &session{runner: r, class: &test.class, rng: rand.New(rand.NewPCG(1, 1))}
-			q := &request{session: s, due: time.Now(), last: test.last}
+			q := &request{session: s, due: time.Now(), last: test.last, req: &pb.GenerateRequest{}}
 			retry, wait := q.nextRetry(test.number)
 			low, high := min(test.want.wait, test.want.wait*6/5), max(test.want.wait, test.want.wait*6/5)
 			if retry != test.want.retry || wait < low || wait > high || q.dispatcher != test.want.dispatcher {
@@ -80,6 +80,20 @@
 	}
 }
 
+// TestRetryUntilDeadline guards against a client that stops retrying before the deadline of a long prompt.
+func TestRetryUntilDeadline(t *testing.T) {
+	class := Class{Name: "class", MaxRetries: 3, Timeout: time.Second, LatencyTargetPer1k: time.Second}
+	r := &loadRunner{clients: map[string][][]pb.GenerationClient{"class": make([][]pb.GenerationClient, 1)}}
+	s := &session{runner: r, class: &class, rng: rand.New(rand.NewPCG(1, 1))}
+	for wait, want := range map[time.Duration]bool{500 * time.Millisecond: true, 5 * time.Second: true, 12 * time.Second: false} {
+		q := &request{session: s, due: time.Now(), req: &pb.GenerateRequest{PromptTokens: 5000}}
+		q.last = outcome{code: codes.Unavailable, answered: true, retryAfter: wait}
+		if retry, _ := q.nextRetry(0); retry != want {
+			t.Errorf("retry %v after a wait of %v, want %v: the deadline is after 11 s", retry, wait, want)
+		}
+	}
+}
+
 // TestNextArrival checks that given arrivals are used unchanged, and that random ones are within the duration.
 func TestNextArrival(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 1))
