lab/report: a log that lacks its beginning is drawn

Before: TestReport panics (nil pointer) for half of a log, and for one without the requests of a class. Cause: answers to attempts whose sending is not in the log have neither class nor start. Why it works: such entries are left out in one place, where a run is read.

--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -5,6 +5,8 @@
 	"image/png"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -59,6 +61,26 @@
 		}
 		f.Close()
 	}
+	// Guards against a panic, and against times since 1970, where a log lacks its beginning.
+	withoutStart := rep.Entries[len(rep.Entries)/2:]
+	if err := WriteReport(t.TempDir(), []RunEntries{{"without its beginning", withoutStart}}); err != nil {
+		t.Error(err)
+	}
+	data, err := newRunData(RunEntries{"without its beginning", withoutStart})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, row := range data.classRows() {
+		if millis, _ := strconv.ParseFloat(row.P99, 64); millis > 60e3 {
+			t.Errorf("class %s: p99 of the first token %s ms, want less than a minute", row.Class, row.P99)
+		}
+	}
+	answersOnly := slices.DeleteFunc(slices.Clone(rep.Entries), func(e eventlog.Entry) bool {
+		return e.Kind == eventlog.RequestSent && e.Class != "question"
+	})
+	if err := WriteReport(t.TempDir(), []RunEntries{{"without requests of a class", answersOnly}}); err != nil {
+		t.Error(err)
+	}
 	if err := WriteReport(dir, []RunEntries{{"none", nil}}); err == nil {
 		t.Error("a log without entries was accepted, want an error")
 	}
--- a/internal/lab/report/run.go
+++ b/internal/lab/report/run.go
@@ -43,6 +43,7 @@
 	if len(run.Entries) == 0 {
 		return nil, &NoDataError{run.Name, "no entries"}
 	}
+	run.Entries = withoutUnknownAttempts(run.Entries)
 	d := &runData{RunEntries: run}
 	classes, servers := map[string]bool{}, map[int]bool{}
 	for i := range run.Entries {
@@ -64,12 +65,33 @@
 	if d.start == 0 {
 		return nil, &NoDataError{run.Name, "no request was sent"}
 	}
-	d.duration = math.Max(d.seconds(run.Entries[len(run.Entries)-1].At), 1e-3)
+	d.duration = math.Max(d.seconds(d.Entries[len(d.Entries)-1].At), 1e-3)
 	d.classes, d.servers = slices.Sorted(maps.Keys(classes)), slices.Sorted(maps.Keys(servers))
 	d.faults = d.faultPeriods()
 	return d, nil
 }
 
+// withoutUnknownAttempts returns the entries without those about attempts whose sending is not among them, as in a log
+// that lacks its beginning: neither their class nor their start is known.
+func withoutUnknownAttempts(entries []eventlog.Entry) []eventlog.Entry {
+	sent := map[string]bool{} // by attemptKey
+	var known []eventlog.Entry
+	for i := range entries {
+		e := &entries[i]
+		switch e.Kind {
+		case eventlog.RequestSent:
+			sent[attemptKey(e)] = true
+		case eventlog.FirstToken, eventlog.RequestAnswered, eventlog.RequestUnanswered, eventlog.RequestCanceled:
+			if !sent[attemptKey(e)] {
+				continue
+			}
+		default: // not about an attempt of a client
+		}
+		known = append(known, *e)
+	}
+	return known
+}
+
 // faultPeriods returns the periods of the script's faults that have ended, sorted by start.
 func (d *runData) faultPeriods() []faultPeriod {
 	var periods []faultPeriod
