--- a/internal/eventloop/listener_test.go
+++ b/internal/eventloop/listener_test.go
@@ -75,8 +75,8 @@
 	waitUntil(t, onLoop, "accepted again", func() bool { return accepted.Load() > 0 })
 }
 
-// TestPauseOutlastsShortage guards against accepting that was paused on purpose and is resumed by the end of a pause for
-// lack of descriptors.
+// TestPauseOutlastsShortage guards against accepting that was paused on purpose and is resumed by the end of a pause
+// for lack of descriptors.
 func TestPauseOutlastsShortage(t *testing.T) {
 	l, onLoop := startLoop(t)
 	var accepted atomic.Int64
--- a/internal/lab/scenario/scenario_test.go
+++ b/internal/lab/scenario/scenario_test.go
@@ -48,7 +48,10 @@
 		{`"role": "mixed"`, `"role": "both"`, `fleet[2].role: is "both", must be prefill, decode or mixed`},
 		{`"role": "mixed"`, `"role": ""`, `fleet[2].role: is empty, must be prefill, decode or mixed`},
 		{`"for": "46s"`, `"for": 46`, `for: must be a string, not 46`},
-		{`"role": "mixed"`, `"moves_per_second": -1, "role": "mixed"`, `fleet[2].moves_per_second: is -1, must be at least 0`},
+		{
+			`"role": "mixed"`, `"moves_per_second": -1, "role": "mixed"`,
+			`fleet[2].moves_per_second: is -1, must be at least 0`,
+		},
 	} {
 		if !strings.Contains(string(text), c.from) {
 			t.Fatalf("%s is not in the script", c.from)
--- a/internal/lab/userclient/userclient_test.go
+++ b/internal/lab/userclient/userclient_test.go
@@ -85,7 +85,9 @@
 	class := Class{Name: "class", MaxRetries: 3, Timeout: time.Second, LatencyTargetPer1k: time.Second}
 	r := &loadRunner{clients: map[string][][]pb.GenerationClient{"class": make([][]pb.GenerationClient, 1)}}
 	s := &session{runner: r, class: &class, rng: rand.New(rand.NewPCG(1, 1))}
-	for wait, want := range map[time.Duration]bool{500 * time.Millisecond: true, 5 * time.Second: true, 12 * time.Second: false} {
+	for wait, want := range map[time.Duration]bool{
+		500 * time.Millisecond: true, 5 * time.Second: true, 12 * time.Second: false,
+	} {
 		q := &request{session: s, due: time.Now(), req: &pb.GenerateRequest{PromptTokens: 5000}}
 		q.last = outcome{code: codes.Unavailable, answered: true, retryAfter: wait}
 		if retry, _ := q.nextRetry(0); retry != want {
