--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -32,8 +32,8 @@
 	addr        netip.AddrPort
 	onAccept    AcceptFunc
 	accept4     func(fd, flags int) (int, unix.Sockaddr, error) // the system call, replaced by tests
-	resumeTimer Timer // set while accepting is paused for lack of descriptors or kernel memory
-	isPaused    bool  // SetAcceptPaused has paused accepting
+	resumeTimer Timer                                           // set while accepting is paused for lack of descriptors or kernel memory
+	isPaused    bool                                            // SetAcceptPaused has paused accepting
 
 	sim simulatedListener
 }
