batchscheduler: the zero value of an outcome may have run

The zero Outcome was 'served': an attempt of which nothing is known would have completed its line. Nothing was seen to rely on it. Now it is unknown, which counts as an end that may have run; TestZeroValuesPermitLeast holds it, with the zero Idempotency.

--- a/internal/decide/batchscheduler/outcome.go
+++ b/internal/decide/batchscheduler/outcome.go
@@ -4,8 +4,10 @@
 type Outcome uint8
 
 const (
+	// OutcomeUnknown is the zero value: nothing is known of the attempt, so that the request may have run.
+	OutcomeUnknown Outcome = iota
 	// OutcomeServed means that the request was served and its response received.
-	OutcomeServed Outcome = iota
+	OutcomeServed
 	// OutcomeRejected means that the request did not run, so that a retry is safe.
 	OutcomeRejected
 	// OutcomeFailed means that the request failed and may have run.
@@ -22,7 +24,9 @@
 func (o Outcome) DidNotRun() bool { return o == OutcomeRejected || o == OutcomeNotSent }
 
 // MayHaveRun reports whether the request may have run although no response came.
-func (o Outcome) MayHaveRun() bool { return o == OutcomeFailed || o == OutcomeConnectionLost }
+func (o Outcome) MayHaveRun() bool {
+	return o == OutcomeUnknown || o == OutcomeFailed || o == OutcomeConnectionLost
+}
 
 // Verdict says what becomes of a line whose attempt has ended.
 type Verdict uint8
--- a/internal/decide/batchscheduler/repeats_test.go
+++ b/internal/decide/batchscheduler/repeats_test.go
@@ -83,6 +83,16 @@
 	checkVerdict(t, verdict, reason, VerdictFailed, ReasonDeduplicationExpired)
 }
 
+// TestZeroValuesPermitLeast guards against a zero value that counts as an answer, or as an effect that may be repeated.
+func TestZeroValuesPermitLeast(t *testing.T) {
+	var outcome Outcome
+	var idempotency Idempotency
+	s := newScheduler(t, 1, 1)
+	addBatch(t, s, Batch{ID: 1, Idempotency: idempotency, Deadline: 1000 * second, Lines: waitingLines(1)})
+	verdict, reason := s.ReportOutcome(0, 1, sendNext(t, s, 0), outcome, 0)
+	checkVerdict(t, verdict, reason, VerdictFailed, ReasonMayHaveRun)
+}
+
 // TestEndOfLineThatMayHaveRun guards against a line whose repetition may do harm and which may have run being reported
 // as one that did not run, because a later attempt or its batch ended otherwise.
 func TestEndOfLineThatMayHaveRun(t *testing.T) {
--- a/internal/decide/batchscheduler/scheduler_test.go
+++ b/internal/decide/batchscheduler/scheduler_test.go
@@ -91,7 +91,7 @@
 				}
 				l := inFlight[0]
 				inFlight = inFlight[1:]
-				outcome := Outcome(rapid.IntRange(0, 4).Draw(rt, "outcome"))
+				outcome := Outcome(rapid.IntRange(0, int(OutcomeNotSent)).Draw(rt, "outcome"))
 				if outcome.MayHaveRun() {
 					countRun(l)
 				} else {
--- a/internal/eventloop/listener.go
+++ b/internal/eventloop/listener.go
@@ -27,13 +27,14 @@
 
 // Listener accepts connections on one address. Make it with Loop.Listen.
 type Listener struct {
-	loop        *Loop
-	fd          int // -1 once the listener is closed
-	addr        netip.AddrPort
-	onAccept    AcceptFunc
-	accept4     func(fd, flags int) (int, unix.Sockaddr, error) // the system call, replaced by tests
-	resumeTimer Timer                                           // set while accepting is paused for lack of descriptors or kernel memory
-	isPaused    bool                                            // SetAcceptPaused has paused accepting
+	loop     *Loop
+	fd       int // -1 once the listener is closed
+	addr     netip.AddrPort
+	onAccept AcceptFunc
+	accept4  func(fd, flags int) (int, unix.Sockaddr, error) // the system call, replaced by tests
+	// resumeTimer is set while accepting is paused for lack of descriptors or kernel memory.
+	resumeTimer Timer
+	isPaused    bool // SetAcceptPaused has paused accepting
 
 	sim simulatedListener
 }
