--- a/internal/decide/batchscheduler/recorded_test.go
+++ b/internal/decide/batchscheduler/recorded_test.go
@@ -84,7 +84,8 @@
 			i := rng.IntN(len(sent))
 			line := sent[i]
 			sent = append(sent[:i], sent[i+1:]...)
-			verdict, reason := s.ReportOutcome(now, line.id, line.index, OutcomeServed+Outcome(rng.IntN(5)), rng.Int64N(second)*rng.Int64N(2))
+			outcome, retryAfter := OutcomeServed+Outcome(rng.IntN(5)), rng.Int64N(second)*rng.Int64N(2)
+			verdict, reason := s.ReportOutcome(now, line.id, line.index, outcome, retryAfter)
 			record("outcome", uint8(verdict), reason)
 		}
 	}
--- a/internal/dispatch/deadline_test.go
+++ b/internal/dispatch/deadline_test.go
@@ -1,10 +1,8 @@
 package dispatch
 
 import (
-	"log/slog"
 	"testing"
 
-	"docksail/internal/decide/intake"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -23,21 +21,13 @@
 		"non-idempotent, never sent": {want: answerCounts{rejected: 1}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			loop, err := eventloop.New()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer loop.Close()
+			loop := newTestLoop(t)
 			class := policy.Class{LatencyTarget: 1e9, Timeout: 5e9}
 			if !c.idempotent {
 				class.Idempotency = policy.NonIdempotent
 			}
 			module, backend, answers := &scriptedModule{}, &silentBackend{}, &answerCounts{}
-			dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
-				Module: module, ClassNames: []string{"a"}, Classes: []policy.Class{class},
-				Intake: intake.Limits{MaxRequests: 10, MaxPromptTokens: 1000, EndpointListKnown: true}, Incarnation: 1,
-			})
-			dispatcher.Attach(idleFrontend{}, backend)
+			dispatcher := newTestDispatcher(loop, module, backend, class)
 			const timeout = 200e6 // nanoseconds
 			id, err := dispatcher.Submit(loop.Now(), answers,
 				&frontend.Request{Class: []byte("a"), PromptTokens: 10, FirstTokenTimeout: timeout})
--- a/internal/dispatch/failreason_test.go
+++ b/internal/dispatch/failreason_test.go
@@ -1,10 +1,8 @@
 package dispatch
 
 import (
-	"log/slog"
 	"testing"
 
-	"docksail/internal/decide/intake"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -27,17 +25,9 @@
 		want   string
 	}{{"before the deadline", 5e8, mayHaveRunReason}, {"at the deadline", 1e9, deadlineExceededReason}} {
 		t.Run(c.name, func(t *testing.T) {
-			loop, err := eventloop.New()
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer loop.Close()
+			loop := newTestLoop(t)
 			module, answer := &scriptedModule{}, &failReasons{}
-			dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
-				Module: module, ClassNames: []string{"a"}, Classes: []policy.Class{{LatencyTarget: 1e9, Timeout: 5e9}},
-				Intake: intake.Limits{MaxRequests: 10, MaxPromptTokens: 1000, EndpointListKnown: true}, Incarnation: 1,
-			})
-			dispatcher.Attach(idleFrontend{}, &silentBackend{})
+			dispatcher := newTestDispatcher(loop, module, &silentBackend{}, policy.Class{LatencyTarget: 1e9, Timeout: 5e9})
 			start := loop.Now()
 			id, err := dispatcher.Submit(start, answer,
 				&frontend.Request{Class: []byte("a"), PromptTokens: 10, FirstTokenTimeout: 1e9})
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -1,9 +1,12 @@
 package dispatch
 
 import (
+	"log/slog"
 	"net/netip"
+	"testing"
 
 	"docksail/internal/decide/inflight"
+	"docksail/internal/decide/intake"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -92,6 +95,27 @@
 	return inflight.Acknowledged
 }
 
+// newTestDispatcher returns a dispatcher of one class, "a", without clients.
+func newTestDispatcher(loop *eventloop.Loop, module Module, backend Backend, class policy.Class) *Dispatcher {
+	dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
+		Module: module, ClassNames: []string{"a"}, Classes: []policy.Class{class},
+		Intake: intake.Limits{MaxRequests: 10, MaxPromptTokens: 1000, EndpointListKnown: true}, Incarnation: 1,
+	})
+	dispatcher.Attach(idleFrontend{}, backend)
+	return dispatcher
+}
+
+// newTestLoop returns an event loop that is closed at the end of the test.
+func newTestLoop(t *testing.T) *eventloop.Loop {
+	t.Helper()
+	loop, err := eventloop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(loop.Close)
+	return loop
+}
+
 // answerCounts is a frontend.ResponseWriter that counts rejections and failures.
 type answerCounts struct{ rejected, failed int }
 
--- a/internal/dispatch/lateiteration_test.go
+++ b/internal/dispatch/lateiteration_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"log/slog"
 	"testing"
 
 	"docksail/internal/decide/intake"
@@ -23,17 +22,9 @@
 // TestModuleDecidesInLateIteration guards against a request that is answered as overdue in the iteration in which the
 // module first learns of the end of its attempt. After a pause of the process both timers are due together.
 func TestModuleDecidesInLateIteration(t *testing.T) {
-	loop, err := eventloop.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer loop.Close()
+	loop := newTestLoop(t)
 	module, answers := &retryingModule{}, &answerCounts{}
-	dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
-		Module: module, ClassNames: []string{"a"}, Classes: []policy.Class{{LatencyTarget: 1e9, Timeout: 5e9}},
-		Intake: intake.Limits{MaxRequests: 10, MaxPromptTokens: 1000, EndpointListKnown: true}, Incarnation: 1,
-	})
-	dispatcher.Attach(idleFrontend{}, &silentBackend{})
+	dispatcher := newTestDispatcher(loop, module, &silentBackend{}, policy.Class{LatencyTarget: 1e9, Timeout: 5e9})
 	const timeout = 100e6 // nanoseconds
 	id, err := dispatcher.Submit(loop.Now(), answers,
 		&frontend.Request{Class: []byte("a"), PromptTokens: 10, FirstTokenTimeout: timeout})
--- a/internal/dispatch/unsent_test.go
+++ b/internal/dispatch/unsent_test.go
@@ -1,11 +1,9 @@
 package dispatch
 
 import (
-	"log/slog"
 	"testing"
 
 	"docksail/internal/decide/inflight"
-	"docksail/internal/decide/intake"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -17,19 +15,11 @@
 	*scriptedModule, *silentBackend, *answerCounts,
 ) {
 	t.Helper()
-	loop, err := eventloop.New()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer loop.Close()
+	loop := newTestLoop(t)
 	module, answers := &scriptedModule{}, &answerCounts{}
 	backend := &silentBackend{unsent: true, delivery: state}
-	dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
-		Module: module, ClassNames: []string{"a"},
-		Classes: []policy.Class{{LatencyTarget: 1e9, Timeout: 5e9, Idempotency: policy.NonIdempotent}},
-		Intake:  intake.Limits{MaxRequests: 10, MaxPromptTokens: 1000, EndpointListKnown: true}, Incarnation: 1,
-	})
-	dispatcher.Attach(idleFrontend{}, backend)
+	class := policy.Class{LatencyTarget: 1e9, Timeout: 5e9, Idempotency: policy.NonIdempotent}
+	dispatcher := newTestDispatcher(loop, module, backend, class)
 	id, err := dispatcher.Submit(loop.Now(), answers,
 		&frontend.Request{Class: []byte("a"), PromptTokens: 10, FirstTokenTimeout: 100e6})
 	if err != nil {
