Review: a deduplicated batch line runs again in a zone that does not know it

After the death of a decode server the batch runner repeats a line of a class with group zone as a new request, which the dispatcher sends to another zone. review/3/run.sh shows it; nothing is fixed.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -30,7 +30,7 @@
 func main() {
 	log.SetFlags(log.Lmicroseconds)
 	if len(os.Args) < 2 {
-		log.Fatal("usage: standin engine|ports|lines|window ...")
+		log.Fatal("usage: standin engine|ports|lines|window|zones ...")
 	}
 	switch command, args := os.Args[1], os.Args[2:]; command {
 	case "engine":
@@ -39,6 +39,8 @@
 		printPorts(args)
 	case "lines":
 		printLines(args)
+	case "zones":
+		checkZones(args)
 	case "window":
 		checkWindow(args)
 	default:
@@ -306,3 +308,26 @@
 		os.Exit(1)
 	}
 }
+
+// checkZones exits with 1 if a label ran in more than one zone.
+func checkZones(args []string) {
+	flags := flag.NewFlagSet("zones", flag.ExitOnError)
+	record := flags.String("record", "", "file of the record")
+	_ = flags.Parse(args)
+	runs := readRuns(*record)
+	elsewhere := 0
+	for label, r := range runs {
+		for _, e := range r[1:] {
+			if e.Zone != r[0].Zone {
+				elsewhere++
+				fmt.Printf("%s ran at %s in zone %s, and %.3f s later at %s in zone %s\n",
+					label, r[0].Engine, r[0].Zone, e.Time-r[0].Time, e.Engine, e.Zone)
+				break
+			}
+		}
+	}
+	fmt.Printf("%d labels ran, %d of them in more than one zone\n", len(runs), elsewhere)
+	if elsewhere > 0 {
+		os.Exit(1)
+	}
+}
