--- a/review/review_test.go
+++ b/review/review_test.go
@@ -26,4 +26,4 @@
 
 func TestReviewDeduplicationWindow(t *testing.T) { runCase(t, "2") }
 
-func TestReviewStartDuringCompaction(t *testing.T) { runCase(t, "3") }
+func TestReviewCancelWhileValidating(t *testing.T) { runCase(t, "3") }
