Review: a repeat that waits for a release is sent after its window

A prefill attempt that repeats a deduplicated request has no time before which it must be written, and waits for a release while the window runs out.

--- a/review/_standin2/dispatcher.go
+++ b/review/_standin2/dispatcher.go
@@ -16,7 +16,7 @@
 	"google.golang.org/grpc/health/grpc_health_v1"
 )
 
-// dispatcher is `bin/docksail serve` as a process of its own.
+// dispatcher is `bin/docksail serve` or `bin/docksail node` as a process of its own.
 type dispatcher struct {
 	program, config, log string
 	addr                 string
@@ -71,14 +71,23 @@
 	return d, os.WriteFile(d.config, []byte(s.text()), 0o600)
 }
 
-// start starts the process and waits until it is ready.
+// start starts `docksail serve` and waits until it is ready.
 func (d *dispatcher) start() error {
+	if err := d.startProcess("serve", d.config); err != nil {
+		return err
+	}
+	return d.waitUntilReady()
+}
+
+// startProcess starts the program with arguments.
+func (d *dispatcher) startProcess(arguments ...string) error {
 	log, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	d.command = exec.Command(d.program, "serve", d.config)
+	d.command = exec.Command(d.program, arguments...)
+	d.command.Env = append(os.Environ(), "RELAY_CONFIG="+d.config)
 	d.command.Stderr, d.command.Stdout = log, log
 	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := d.command.Start(); err != nil {
@@ -86,8 +95,8 @@
 	}
 	d.done = make(chan struct{})
 	go func(c *exec.Cmd, done chan struct{}) { _ = c.Wait(); close(done) }(d.command, d.done)
-	d.record.addf("started: docksail serve, process %d", d.command.Process.Pid)
-	return d.waitUntilReady()
+	d.record.addf("started: docksail %s, process %d", arguments[0], d.command.Process.Pid)
+	return nil
 }
 
 func (d *dispatcher) waitUntilReady() error {
@@ -121,7 +130,7 @@
 	}
 	_ = d.command.Process.Kill()
 	<-d.done
-	d.record.addf("killed: docksail serve, process %d", d.command.Process.Pid)
+	d.record.addf("killed: docksail, process %d", d.command.Process.Pid)
 }
 
 // hasEnded reports whether the process has ended by itself.
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -31,7 +31,7 @@
 	"silentwatch": playSilentWatch,
 	"badentry":    playBadEntry,
 	"zonerepeat":  playZoneRepeat,
-	"quota":       playQuota,
+	"window":      playWindow,
 }
 
 func main() {
--- a/review/second/second_test.go
+++ b/review/second/second_test.go
@@ -56,5 +56,6 @@
 // TestReviewBadEntry plays review/9: one entry that cannot be read keeps all later changes out.
 func TestReviewBadEntry(t *testing.T) { play(t, "9") }
 
-// TestReviewFullQuota plays review/10: a batch whose results do not fit the tenant's quota never ends.
-func TestReviewFullQuota(t *testing.T) { play(t, "10") }
+// TestReviewRepeatAfterWindow plays review/10: a prefill attempt that repeats a request waits for a release, and is sent when
+// the window for repeats is over.
+func TestReviewRepeatAfterWindow(t *testing.T) { play(t, "10") }
