Review: a second answer is passed on to another client

A model host's second answer, 12 ms after the first, meets a connection that has been taken again: its text goes to the client of the next request.

--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -29,9 +29,9 @@
 var cases = map[string]func(*lab) (broken bool, err error){
 	"gateway":     playGateway,
 	"silentwatch": playSilentWatch,
-	"badentry":    playBadEntry,
 	"zonerepeat":  playZoneRepeat,
 	"window":      playWindow,
+	"second":      playSecond,
 }
 
 func main() {
