--- a/review/_standin2/zonerepeat.go
+++ b/review/_standin2/zonerepeat.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	zoneLines   = 120
-	zoneAtReset = 8 // lines that run when the connections are reset
-	zoneMostFor = 70 * time.Second
+	zoneLines   = 200
+	zoneAtReset = 12 // lines that run when the connections are reset
+	zoneMostFor = 80 * time.Second
 )
 
 // playZoneRepeat has a batch of a deduplicated class run at engines in two zones, which share their record of labels
@@ -60,7 +60,7 @@
 		listen: listen, zone: "a", fleet: fmt.Sprintf(`{"watch": %q, "ask_within": "4s"}`, list.addr),
 		classes: `[{"name": "reminder", "target": "1s", "target_per_1000_tokens": "60ms", "timeout": "5s", "value": 1,
     "late_value": 0.1, "token_gap": "50ms", "effect": "deduplicated", "group": "zone", "window": "60s"}]`,
-		batch: fmt.Sprintf(`{"listen": %q, "dir": %q, "lines_out": 12, "keys": [{"sha256": %q, "tenant": ""}]}`,
+		batch: fmt.Sprintf(`{"listen": %q, "dir": %q, "lines_out": 16, "keys": [{"sha256": %q, "tenant": ""}]}`,
 			api, filepath.Join(l.folder, "batches"), batchKeyHash()),
 	})
 	if err == nil {
