--- a/review/second/second_test.go
+++ b/review/second/second_test.go
@@ -46,8 +46,8 @@
 // TestReviewZoneRepeat plays review/6: a deduplicated batch line runs again in a zone that does not know it.
 func TestReviewZoneRepeat(t *testing.T) { play(t, "6") }
 
-// TestReviewGatewayCancels plays review/7: calls of users who stay end without an answer when others on their connection
-// leave.
+// TestReviewGatewayCancels plays review/7: calls of users who stay end without an answer when others on their
+// connection leave.
 func TestReviewGatewayCancels(t *testing.T) { play(t, "7") }
 
 // TestReviewSecondAnswer plays review/8: a second answer is passed on to the client of the connection's next request.
@@ -56,6 +56,6 @@
 // TestReviewSilentWatch plays review/9: a watch that has fallen silent is not opened anew.
 func TestReviewSilentWatch(t *testing.T) { play(t, "9") }
 
-// TestReviewRepeatAfterWindow plays review/10: a prefill attempt that repeats a request waits for a release, and is sent when
-// the window for repeats is over.
+// TestReviewRepeatAfterWindow plays review/10: a prefill attempt that repeats a request waits for a release, and is
+// sent when the window for repeats is over.
 func TestReviewRepeatAfterWindow(t *testing.T) { play(t, "10") }
