--- a/internal/lab/soak/dispatcher.go
+++ b/internal/lab/soak/dispatcher.go
@@ -145,7 +145,7 @@
 	config := nodeConfig{
 		Name: d.Name, Listen: d.Addr, Discovery: f.discovery.Addr().String(),
 		Seed:     fmt.Sprintf("%x", hash(d.Name)+uint64(d.Incarnation())),
-		Limits:   nodeLimits{Cores: 1, MemoryMB: 96, Sockets: f.MaxDescriptors},
+		Limits:   nodeLimits{Cores: 1, MemoryMB: f.MemoryMB, Sockets: f.MaxDescriptors},
 		Known:    f.endpointList(),
 		Settings: json.RawMessage(f.settings),
 	}
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -23,6 +23,7 @@
 	AttemptPlan    func(id string, isPrefill bool, server string) AttemptPlan
 	ReleaseStatus  func(id, server string) int
 	MaxDescriptors int // file descriptors in the configuration of each dispatcher
+	MemoryMB       int // memory limit in the configuration of each dispatcher
 
 	program           CommandFunc
 	dispatcherProgram CommandFunc
@@ -47,6 +48,7 @@
 		AttemptPlan:    func(string, bool, string) AttemptPlan { return AttemptPlan{} },
 		ReleaseStatus:  func(string, string) int { return 0 },
 		MaxDescriptors: defaultMaxDescriptors,
+		MemoryMB:       defaultMemoryMB,
 
 		program: program, dispatcherProgram: program, directory: directory, settings: settings,
 		listVersion: initialListVersion, watches: map[chan struct{}]bool{},
--- a/internal/lab/soak/modelserver.go
+++ b/internal/lab/soak/modelserver.go
@@ -17,7 +17,8 @@
 const eventsPerStream = 4
 
 const (
-	tokenEvent = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"}}]}\n\n"
+	tokenText  = "oqvh"
+	tokenEvent = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + tokenText + "\"}}]}\n\n"
 	endEvent   = "data: [DONE]\n\n"
 )
 
@@ -185,7 +186,7 @@
 		fmt.Fprint(c.conn, "HTTP/1.1 410 Gone\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
 	}
-	if c.stream(plan.TokenInterval) != nil {
+	if c.stream(plan) != nil {
 		c.reportFinished(id, "stream cut")
 		return false
 	}
@@ -198,28 +199,53 @@
 	c.server.report(report{Kind: reportAttemptFinished, ID: id, Port: c.port, Outcome: outcome})
 }
 
-// stream writes the events of an answer, with the interval after each.
-func (c *modelServerConn) stream(tokenInterval time.Duration) error {
+// stream writes the events of an answer, with the interval after each, or after each piece of one.
+func (c *modelServerConn) stream(plan AttemptPlan) error {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	if _, err := io.WriteString(c.conn, head); err != nil {
 		return err
 	}
-	for n := range eventsPerStream {
-		event := tokenEvent
-		if n == eventsPerStream-1 {
-			event = endEvent
-		}
-		if _, err := fmt.Fprintf(c.conn, "%x\r\n%s\r\n", len(event), event); err != nil {
-			return err
+	tokens := eventsPerStream - 1
+	if plan.Tokens > 0 {
+		tokens = plan.Tokens
+	}
+	for n := range tokens {
+		pieces := 1
+		if n > 0 {
+			pieces = max(plan.TokenPieces, 1)
 		}
-		if err := c.wait(tokenInterval); err != nil {
+		if err := c.writeEvent(plan.tokenEvent(), pieces, plan.TokenInterval); err != nil {
 			return err
 		}
 	}
+	if err := c.writeEvent(endEvent, 1, plan.TokenInterval); err != nil {
+		return err
+	}
 	_, err := io.WriteString(c.conn, "0\r\n\r\n")
 	return err
 }
 
+// tokenEvent returns the event of a token.
+func (p *AttemptPlan) tokenEvent() string {
+	before, after, _ := strings.Cut(tokenEvent, tokenText)
+	size := max(p.TokenBytes-len(before)-len(after), len(tokenText))
+	return before + strings.Repeat("o", size) + after
+}
+
+// writeEvent writes an event in pieces, with an interval after each.
+func (c *modelServerConn) writeEvent(event string, pieces int, interval time.Duration) error {
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	for piece := range pieces {
+		if _, err := io.WriteString(c.conn, chunk[len(chunk)*piece/pieces:len(chunk)*(piece+1)/pieces]); err != nil {
+			return err
+		}
+		if err := c.wait(interval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // wait waits for a duration. It returns errConnClosed if the connection ends before that.
 func (c *modelServerConn) wait(d time.Duration) error {
 	select {
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -15,6 +15,7 @@
 	minDispatchers       = 2
 	clientsPerDispatcher = 8
 
+	defaultMemoryMB       = 96   // that a dispatcher may use
 	defaultMaxDescriptors = 1024 // file descriptors that a dispatcher may use
 	reducedMaxDescriptors = 60
 	defaultReleaseTime    = time.Second
@@ -129,7 +130,10 @@
 // it depends on the seed and not on the state of the server's process.
 type AttemptPlan struct {
 	Work          time.Duration // time until a prefill ends, or a decode attempt fetches its state
-	TokenInterval time.Duration // after each event of a stream
+	TokenInterval time.Duration // after each event of a stream, or each part of one
+	Tokens        int           // events of a stream before the one that ends it; 0 = eventsPerStream - 1
+	TokenBytes    int           // size of each of them; 0 = that of tokenEvent
+	TokenPieces   int           // parts in which the events between the first and the last are written; 0 = 1
 	// Status of the answer; 0 = that of a healthy server. A prefill with another status leaves its state as well.
 	Status int
 	Reset  bool // the connection is reset instead of answered
--- /dev/null
+++ b/internal/lab/soak/pressure.go
@@ -0,0 +1,334 @@
+package soak
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// PressureKind is a way in which a group of clients burdens a dispatcher.
+type PressureKind int
+
+// The kinds of pressure.
+const (
+	// LargeRequests are complete requests of nearly the largest size, each followed by another once it is answered.
+	LargeRequests PressureKind = iota
+	// ManyFields are complete requests whose head consists of thousands of short fields.
+	ManyFields
+	// HalfRequests are the first halves of large requests. Their clients then wait for an answer or the close.
+	HalfRequests
+	// HalfHeads are heads of thousands of short fields that do not end.
+	HalfHeads
+	// SlowReaders are requests with long answers, which their clients read slowly.
+	SlowReaders
+	// SlowWriters are large requests that are written slowly.
+	SlowWriters
+	// Flood is small requests at full speed, pipelined on one connection for each client, each with new names.
+	Flood
+	// InvalidFlood is malformed requests at full speed, on a new connection whenever the last one was closed.
+	InvalidFlood
+	// Deserters pipeline several requests on one connection and close it at a random moment.
+	Deserters
+
+	PressureKindCount
+)
+
+var pressureNames = [PressureKindCount]string{
+	LargeRequests: "large requests",
+	ManyFields:    "requests of many fields",
+	HalfRequests:  "half requests",
+	HalfHeads:     "half heads of many fields",
+	SlowReaders:   "slow readers",
+	SlowWriters:   "slow writers",
+	Flood:         "a flood of small requests",
+	InvalidFlood:  "a flood of malformed requests",
+	Deserters:     "clients that leave with requests unread",
+}
+
+// String returns the name of the kind in words.
+func (k PressureKind) String() string { return pressureNames[k] }
+
+const (
+	largeBodyBytes = 255 << 10
+	halfBodyBytes  = 250 << 10
+	// manyFieldsBytes is the size of the short fields in a head of ManyFields.
+	manyFieldsBytes = 12 << 10
+	// slowReadBytes and slowReadInterval set the pace of SlowReaders; slowWriteParts and slowWriteInterval that of
+	// SlowWriters.
+	slowReadBytes     = 2 << 10
+	slowReadInterval  = 100 * time.Millisecond
+	slowWriteParts    = 20
+	slowWriteInterval = 100 * time.Millisecond
+	// pressureRemaining is how long the clients wait for the first token.
+	pressureRemaining = 4 * time.Second
+	// floodBatch is how many requests a client of a flood writes at once.
+	floodBatch = 100
+	// pressureIDPrefix begins the IDs of all requests of a pressure.
+	pressureIDPrefix = "f"
+)
+
+// IsPressureID reports whether a request ID belongs to a request of the given kind of pressure.
+func IsPressureID(id string, kind PressureKind) bool {
+	return strings.HasPrefix(id, fmt.Sprintf("%s%x", pressureIDPrefix, int(kind)))
+}
+
+// Pressure is a group of clients that burden one dispatcher.
+type Pressure struct {
+	Kind       PressureKind
+	Clients    int
+	Dispatcher *Dispatcher
+
+	mu            sync.Mutex
+	statuses      map[int]int // answers by status; 0 = closed without a complete answer
+	longestAnswer time.Duration
+	lastID        int
+}
+
+// Run runs the clients for a duration.
+func (p *Pressure) Run(duration time.Duration) {
+	p.statuses = map[int]int{}
+	end := time.Now().Add(duration)
+	var clients sync.WaitGroup
+	for n := range p.Clients {
+		clients.Go(func() { p.runClient(n, end) })
+	}
+	clients.Wait()
+}
+
+// Statuses returns how many answers had each status; 0 counts connections that ended without an answer.
+func (p *Pressure) Statuses() map[int]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.statuses)
+}
+
+func (p *Pressure) count(status int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.statuses[status]++
+}
+
+// LongestAnswer returns the longest time from the last byte of a complete request to the end of its answer, for the
+// kinds whose clients send one request after another.
+func (p *Pressure) LongestAnswer() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.longestAnswer
+}
+
+// noteAnswer counts the answer to a request whose last byte was written at sentAt.
+func (p *Pressure) noteAnswer(status int, sentAt time.Time) {
+	p.count(status)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.longestAnswer = max(p.longestAnswer, time.Since(sentAt))
+}
+
+// nextID returns a new request ID.
+func (p *Pressure) nextID() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastID++
+	incarnation := p.Dispatcher.Incarnation()
+	return fmt.Sprintf("%s%x%04x%010x", pressureIDPrefix, int(p.Kind), incarnation&0xffff, p.lastID)
+}
+
+// runClient runs one client until end. It connects again whenever its connection has ended.
+func (p *Pressure) runClient(n int, end time.Time) {
+	const reconnectDelay = 20 * time.Millisecond
+	for time.Now().Before(end) {
+		conn, err := net.DialTimeout("tcp", p.Dispatcher.Addr, dialTimeout)
+		if err != nil {
+			time.Sleep(reconnectDelay)
+			continue
+		}
+		_ = conn.SetDeadline(end)
+		p.burden(n, conn.(*net.TCPConn), end)
+		conn.Close()
+		time.Sleep(reconnectDelay)
+	}
+}
+
+// burden uses one connection until it ends.
+func (p *Pressure) burden(n int, conn *net.TCPConn, end time.Time) {
+	in := bufio.NewReaderSize(conn, slowReadBytes)
+	switch p.Kind {
+	case LargeRequests:
+		p.exchange(in, end, func() error { return p.writeBody(conn, largeBodyBytes, 1) })
+	case ManyFields:
+		p.exchange(in, end, func() error {
+			_, err := io.WriteString(conn, p.head(manyFields(), len(requestBody))+requestBody)
+			return err
+		})
+	case SlowWriters:
+		p.exchange(in, end, func() error { return p.writeBody(conn, largeBodyBytes, slowWriteParts) })
+	case HalfRequests:
+		body := largeBody(halfBodyBytes)
+		_, _ = io.WriteString(conn, p.head("", len(body))+body[:len(body)/2])
+		p.count(readStatus(in))
+		_, _ = io.Copy(io.Discard, in)
+	case HalfHeads:
+		_, _ = io.WriteString(conn, strings.TrimSuffix(p.head(manyFields(), 0), "\r\n"))
+		p.count(readStatus(in))
+		_, _ = io.Copy(io.Discard, in)
+	case SlowReaders:
+		_ = conn.SetReadBuffer(slowReadBytes)
+		_, _ = io.WriteString(conn, p.head("", len(requestBody))+requestBody)
+		p.readSlowly(conn)
+	case Flood, InvalidFlood:
+		go p.countAnswers(in)
+		p.flood(conn, end)
+	case Deserters:
+		p.desert(n, conn)
+	case PressureKindCount:
+	}
+}
+
+// exchange sends requests one after another and reads their answers until the connection ends.
+func (p *Pressure) exchange(in *bufio.Reader, end time.Time, write func() error) {
+	for time.Now().Before(end) {
+		if err := write(); err != nil {
+			p.count(readStatus(in))
+			return
+		}
+		sentAt := time.Now()
+		status := readStatus(in)
+		if time.Now().After(end) { // the client has stopped waiting
+			return
+		}
+		p.noteAnswer(status, sentAt)
+		if status == 0 {
+			return
+		}
+	}
+}
+
+// head returns the head of a request with additional fields.
+func (p *Pressure) head(fields string, bodyBytes int) string {
+	id := p.nextID()
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: api.internal\r\n"+
+		"X-Txn: %s\r\nX-Lane: %s\r\nX-Entity: %s\r\nX-Remaining: %.3f\r\nX-Labels: prefix=%s\r\n%s"+
+		"Content-Length: %d\r\n\r\n",
+		id, effectIdempotent, id, pressureRemaining.Seconds(), id, fields, bodyBytes)
+}
+
+// manyFields returns thousands of short header fields.
+func manyFields() string { return strings.Repeat("a:\r\n", manyFieldsBytes/len("a:\r\n")) }
+
+// largeBody returns a valid body of the given size.
+func largeBody(size int) string {
+	const content = "abcd"
+	before, after, _ := strings.Cut(requestBody, content)
+	return before + strings.Repeat("a", size-len(before)-len(after)) + after
+}
+
+// writeBody writes a request with a body of the given size, in parts with a pause after each but the last.
+func (p *Pressure) writeBody(conn net.Conn, size, parts int) error {
+	body := largeBody(size)
+	text := p.head("", len(body)) + body
+	for part := range parts {
+		if _, err := io.WriteString(conn, text[len(text)*part/parts:len(text)*(part+1)/parts]); err != nil {
+			return err
+		}
+		if part < parts-1 {
+			time.Sleep(slowWriteInterval)
+		}
+	}
+	return nil
+}
+
+// readStatus reads an answer and returns its status, or 0 if it does not come completely.
+func readStatus(in *bufio.Reader) int {
+	response, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return 0
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0
+	}
+	if response.Close {
+		_, _ = io.Copy(io.Discard, in) // waits for the end of the connection
+	}
+	return response.StatusCode
+}
+
+// countAnswers reads answers until the connection ends.
+func (p *Pressure) countAnswers(in *bufio.Reader) {
+	for {
+		status := readStatus(in)
+		if status == 0 {
+			return
+		}
+		p.count(status)
+	}
+}
+
+// readSlowly reads at a slow pace until the connection ends.
+func (p *Pressure) readSlowly(conn net.Conn) {
+	buffer := make([]byte, slowReadBytes)
+	for {
+		if _, err := conn.Read(buffer); err != nil {
+			return
+		}
+		time.Sleep(slowReadInterval)
+	}
+}
+
+// flood writes requests at full speed until the connection ends.
+func (p *Pressure) flood(conn net.Conn, end time.Time) {
+	for time.Now().Before(end) {
+		var batch strings.Builder
+		for range floodBatch {
+			if p.Kind == InvalidFlood {
+				batch.WriteString("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: " + p.nextID() + "\r\n\r\n")
+				continue
+			}
+			batch.WriteString(p.head("", len(requestBody)) + requestBody)
+		}
+		if _, err := io.WriteString(conn, batch.String()); err != nil {
+			return
+		}
+	}
+}
+
+const (
+	// deserterRequests is how many requests a deserter pipelines, of which every second has deserterBodyBytes.
+	deserterRequests  = 6
+	deserterBodyBytes = 60 << 10
+	// maxDesertionDelay is the longest time for which deserters wait before they close their connection.
+	maxDesertionDelay = 900 * time.Millisecond
+)
+
+// desert pipelines requests and closes the connection at a moment that depends on the client and its requests, whether
+// or not everything has been sent by then. The oracle checks that no attempt starts afterwards.
+func (p *Pressure) desert(n int, conn *net.TCPConn) {
+	oracle := p.Dispatcher.fleet.Oracle
+	var ids []string
+	var text strings.Builder
+	for request := range deserterRequests {
+		id := p.nextID()
+		ids = append(ids, id)
+		body := requestBody
+		if request%2 == 0 {
+			body = largeBody(deserterBodyBytes)
+		}
+		oracle.RequestSent(Now(), id, p.Dispatcher.Name)
+		fmt.Fprintf(&text, "POST /v1/chat/completions HTTP/1.1\r\nHost: api.internal\r\nX-Txn: %s\r\nX-Lane: %s\r\n"+
+			"X-Remaining: %.3f\r\nContent-Length: %d\r\n\r\n%s",
+			id, effectIdempotent, pressureRemaining.Seconds(), len(body), body)
+	}
+	_ = conn.SetWriteBuffer(text.Len()) // lets the client close with bytes unsent
+	go func() { _, _ = io.WriteString(conn, text.String()) }()
+	delay := time.Duration(hash(fmt.Sprint(n, ids[0])) % uint64(maxDesertionDelay))
+	time.Sleep(delay)
+	conn.Close()
+	for _, id := range ids {
+		oracle.ClientCanceled(Now(), id)
+	}
+}
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -30,6 +30,7 @@
 	closesBlocked      bool // whether closes of connections by dispatchers are hidden from the server
 	blocksExistingOnly bool // whether blocked applies only to connections that existed when it was set
 	delay              time.Duration
+	forwardRate        int           // bytes a second that new connections forward to the server; 0 = no limit
 	spread             time.Duration // upper bound of the additional delay that each connection has
 	conns              map[*proxyConn]bool
 	stopped            bool
@@ -92,6 +93,12 @@
 // connections arrive in another order.
 func (p *Proxy) SetSpread(maxDelay time.Duration) { p.update(func() { p.spread = maxDelay }) }
 
+// SetForwardRate limits the bytes a second that the proxy reads from each dispatcher's connection, of those that open
+// from now on; 0 means no limit.
+func (p *Proxy) SetForwardRate(bytesPerSecond int) {
+	p.update(func() { p.forwardRate = bytesPerSecond })
+}
+
 // ResetConns resets all connections: at the server's end if the direction is Forward, at the dispatcher's end if it is
 // Backward, or at both. If only one end is reset, the other sees the connection closed.
 func (p *Proxy) ResetConns(direction Direction, both bool) {
@@ -120,7 +127,7 @@
 // serve forwards a connection from a dispatcher until both directions have ended.
 func (p *Proxy) serve(dispatcher *net.TCPConn) {
 	p.mu.Lock()
-	rejecting, target := p.rejecting || p.stopped, p.target
+	rejecting, target, forwardRate := p.rejecting || p.stopped, p.target, p.forwardRate
 	p.mu.Unlock()
 	if rejecting || target == "" {
 		resetConn(dispatcher)
@@ -131,7 +138,10 @@
 		resetConn(dispatcher)
 		return
 	}
-	c := &proxyConn{proxy: p, dispatcher: dispatcher, server: server.(*net.TCPConn)}
+	c := &proxyConn{proxy: p, dispatcher: dispatcher, server: server.(*net.TCPConn), forwardRate: forwardRate}
+	if forwardRate > 0 {
+		_ = dispatcher.SetReadBuffer(slowReadBytes) // an error means that the connection is closed
+	}
 	c.id = ConnID{p.server, c.server.LocalAddr().(*net.TCPAddr).Port}
 	p.update(func() { p.conns[c] = true })
 	var directions sync.WaitGroup
--- a/internal/lab/soak/proxyconn.go
+++ b/internal/lab/soak/proxyconn.go
@@ -21,6 +21,7 @@
 	dispatcher    *net.TCPConn
 	server        *net.TCPConn
 	id            ConnID
+	forwardRate   int  // bytes a second that are read from the dispatcher; 0 = no limit
 	predatesBlock bool // whether it existed when the proxy was last blocked; guarded by proxy.mu
 }
 
@@ -64,7 +65,12 @@
 // to the oracle.
 func (c *proxyConn) read(direction Direction, from, to *net.TCPConn, chunks chan<- chunk) {
 	defer close(chunks)
-	buffer := make([]byte, proxyReadSize)
+	const slowReadsPerSecond = 20
+	buffer, rate := make([]byte, proxyReadSize), 0
+	if direction == Forward && c.forwardRate > 0 {
+		rate = c.forwardRate
+		buffer = buffer[:max(rate/slowReadsPerSecond, 1)]
+	}
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
@@ -73,6 +79,9 @@
 			}
 			chunks <- chunk{bytes.Clone(buffer[:n]), time.Now()}
 		}
+		if rate > 0 {
+			time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+		}
 		if err == nil {
 			continue
 		}
--- a/internal/node/messages_test.go
+++ b/internal/node/messages_test.go
@@ -60,6 +60,12 @@
 	return strings.NewReplacer(replacements...).Replace(text)
 }
 
+// requestWithBody returns a request whose body has about the given size.
+func requestWithBody(id string, bodyBytes int) string {
+	body := strings.Replace(requestBody, "abcd", strings.Repeat("a", bodyBytes), 1)
+	return request(id, contentLength, fmt.Sprintf("Content-Length: %d", len(body)), requestBody, body)
+}
+
 // requestID returns the ID of the n-th request.
 func requestID(n int) string { return fmt.Sprintf("%016x", n) }
 
