h1, frontend: heads have a limit of fields; work on a head grows with its size

Cause: each field of 4 bytes takes 48 in Head.Fields, which a connection keeps (196 KB for a head of 16 KB), and isEndToEnd compared each field with all others to find the Connection field: 9.4 million comparisons for one head of 3,072 fields.

--- a/internal/backend/platform/response.go
+++ b/internal/backend/platform/response.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"docksail/internal/decide/serverconn"
 	"docksail/internal/eventloop"
 	"docksail/internal/h1"
 	"docksail/policy"
@@ -16,6 +17,11 @@
 	maxPrefillBodyBytes = 256      // of the body of the response to a prefill attempt that are kept
 )
 
+// responseLimits bound the response of a server.
+var responseLimits = h1.Limits{
+	HeadBytes: maxHeadBytes, HeadFields: serverconn.MaxHeadFields, ChunkBytes: maxChunkBytes,
+}
+
 // response is the part of the response to an exchange that has been received.
 type response struct {
 	decoder      h1.Decoder
@@ -30,7 +36,7 @@
 // reset prepares for the response to another message.
 func (r *response) reset() {
 	*r = response{
-		decoder:    h1.NewResponseDecoder(h1.Limits{HeadBytes: maxHeadBytes, BodyBytes: 0, ChunkBytes: maxChunkBytes}),
+		decoder:    h1.NewResponseDecoder(responseLimits),
 		buffered:   r.buffered[:0],
 		loadReport: policy.NoLoadReport,
 	}
--- a/internal/decide/clientconn/limits.go
+++ b/internal/decide/clientconn/limits.go
@@ -1,6 +1,11 @@
 package clientconn
 
 const (
+	// MaxHeadFields is the most fields in the head of a request.
+	MaxHeadFields = 128
+	// MaxConnectionOptions is the most options in the Connection fields of a request, which are compared with its fields.
+	MaxConnectionOptions = 16
+
 	// processDescriptorFraction is the fraction of the descriptors that is reserved for the process itself, in addition
 	// to baseProcessDescriptors: for the log, the endpoint list and descriptors that are being handed over.
 	processDescriptorFraction = 1.0 / 32
--- a/internal/decide/serverconn/serverconn.go
+++ b/internal/decide/serverconn/serverconn.go
@@ -4,6 +4,9 @@
 // The package does no I/O and reads no clock. All times are nanoseconds on one clock of the caller.
 package serverconn
 
+// MaxHeadFields is the most fields in the head of a response.
+const MaxHeadFields = 128
+
 const (
 	// minIdleBeforeReuse is how long a connection stays idle before it is reused, in nanoseconds: a server may send a
 	// second response, which would be taken for the response to the next request.
--- a/internal/frontend/platform/head.go
+++ b/internal/frontend/platform/head.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"docksail/internal/decide/clientconn"
 	"docksail/internal/frontend"
 	"docksail/internal/h1"
 )
@@ -66,11 +67,15 @@
 // parse sets r from a head. It returns an error if a field is invalid, repeated or missing.
 func (r *requestHead) parse(head *h1.Head) error {
 	r.reset(head.Target)
+	var options connectionOptions
+	if err := options.parse(head); err != nil {
+		return err
+	}
 	var seen [requestFieldCount]bool
 	for _, f := range head.Fields {
 		field, known := requestFieldsByName[string(lowerCase(f.Name))]
 		if !known {
-			r.forwardEndToEnd(head, f)
+			r.forwardEndToEnd(&options, f)
 			continue
 		}
 		if seen[field] {
@@ -179,9 +184,10 @@
 	return err
 }
 
-// forwardEndToEnd adds a field to forwardedFields if it is end-to-end.
-func (r *requestHead) forwardEndToEnd(head *h1.Head, field h1.Field) {
-	if !isEndToEnd(head, field.Name) {
+// forwardEndToEnd adds a field to forwardedFields if it is end-to-end: it is not one of hopByHopFields, and the
+// Connection field does not list it.
+func (r *requestHead) forwardEndToEnd(options *connectionOptions, field h1.Field) {
+	if hopByHopFields[string(lowerCase(field.Name))] || options.contain(field.Name) {
 		return
 	}
 	r.forwardedFields = append(r.forwardedFields, field.Name...)
@@ -190,23 +196,37 @@
 	r.forwardedFields = append(r.forwardedFields, "\r\n"...)
 }
 
-// isEndToEnd reports whether a field is to be forwarded: it is not one of hopByHopFields, and the Connection field
-// does not list it.
-func isEndToEnd(head *h1.Head, name []byte) bool {
-	if hopByHopFields[string(lowerCase(name))] {
-		return false
-	}
+// connectionOptions are the options that the Connection fields of a head list.
+type connectionOptions struct {
+	names [clientconn.MaxConnectionOptions][]byte
+	count int
+}
+
+// parse collects the options of a head. It returns an error if there are more than clientconn.MaxConnectionOptions.
+func (o *connectionOptions) parse(head *h1.Head) error {
 	for _, f := range head.Fields {
 		if !bytes.EqualFold(f.Name, []byte("connection")) {
 			continue
 		}
 		for option := range bytes.SplitSeq(f.Value, []byte{','}) {
-			if bytes.EqualFold(bytes.TrimSpace(option), name) {
-				return false
+			if o.count == len(o.names) {
+				return errors.New("too many Connection options")
 			}
+			o.names[o.count] = bytes.TrimSpace(option)
+			o.count++
+		}
+	}
+	return nil
+}
+
+// contain reports whether name is one of the options, ignoring case.
+func (o *connectionOptions) contain(name []byte) bool {
+	for _, option := range o.names[:o.count] {
+		if bytes.EqualFold(option, name) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // buildRequest sets request from the head and the complete body, whose bytes it does not copy. age is the time since
--- a/internal/frontend/platform/server.go
+++ b/internal/frontend/platform/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/netip"
 
+	"docksail/internal/decide/clientconn"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/internal/h1"
@@ -113,7 +114,7 @@
 	}
 	s.connCount++
 	s.lastSequence++
-	limits := h1.Limits{HeadBytes: maxHeadBytes, BodyBytes: maxBodyBytes}
+	limits := h1.Limits{HeadBytes: maxHeadBytes, HeadFields: clientconn.MaxHeadFields, BodyBytes: maxBodyBytes}
 	c := &conn{server: s, transport: transport, sequence: s.lastSequence}
 	c.incoming.decoder = h1.NewRequestDecoder(limits)
 	c.lifecycle.onTimer = c.stateTimedOut
--- a/internal/h1/chunk.go
+++ b/internal/h1/chunk.go
@@ -140,7 +140,7 @@
 		return NeedData, 0, err
 	}
 	var trailer Head
-	if err := trailer.parseFields(p[:end]); err != nil {
+	if err := trailer.parseFields(p[:end], d.limits.HeadFields); err != nil {
 		return NeedData, 0, err
 	}
 	d.state = stateMessageEnd
--- a/internal/h1/decoder.go
+++ b/internal/h1/decoder.go
@@ -122,7 +122,7 @@
 	if err != nil || end == 0 {
 		return NeedData, 0, err
 	}
-	if err := d.Head.parse(p[:end], d.isRequest); err != nil {
+	if err := d.Head.parse(p[:end], d.isRequest, d.limits.HeadFields); err != nil {
 		return NeedData, 0, err
 	}
 	if !d.isRequest && d.Head.StatusCode < statusOK {
--- a/internal/h1/golden_test.go
+++ b/internal/h1/golden_test.go
@@ -62,6 +62,15 @@
 		Limits{HeadBytes: 64},
 		"GET / HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("a", 64) + "\r\n\r\n",
 	},
+	{
+		"head of too many fields", false,
+		Limits{HeadBytes: 1 << 10, HeadFields: 3},
+		"GET / HTTP/1.1\r\nHost: x\r\na:\r\nb:\r\nc:\r\n\r\n",
+	},
+	{
+		"trailer of too many fields", false,
+		Limits{HeadBytes: 1 << 10, HeadFields: 3}, goldenChunked + "0\r\na:\r\nb:\r\nc:\r\nd:\r\n\r\n",
+	},
 	{"length twice", false, testLimits, goldenPost + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"},
 	{"length and chunked", false, testLimits, goldenPost + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc"},
 	{"length with sign", false, testLimits, goldenPost + "Content-Length: +3\r\n\r\nabc"},
--- a/internal/h1/h1.go
+++ b/internal/h1/h1.go
@@ -10,6 +10,7 @@
 // Limits bound the size of a message.
 type Limits struct {
 	HeadBytes  int   // maximum size of a head, and of a trailer section
+	HeadFields int   // maximum number of fields of a head, and of a trailer section; 0 = no limit
 	BodyBytes  int64 // maximum size of a body; 0 = no limit
 	ChunkBytes int   // maximum size of a chunk; chunks are then returned whole. 0 = chunk data is returned as it arrives
 }
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -60,8 +60,8 @@
 	return p[:end-1], p[end+1:], nil
 }
 
-// parse parses a complete head, including the empty line that ends it.
-func (h *Head) parse(p []byte, isRequest bool) error {
+// parse parses a complete head, including the empty line that ends it. maxFields limits its fields; 0 = no limit.
+func (h *Head) parse(p []byte, isRequest bool, maxFields int) error {
 	*h = Head{ContentLength: -1, Fields: h.Fields[:0]}
 	line, p, err := cutLine(p)
 	if err != nil {
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	if err := h.parseFields(p); err != nil {
+	if err := h.parseFields(p, maxFields); err != nil {
 		return err
 	}
 	return h.interpretFields(isRequest)
@@ -150,8 +150,9 @@
 	return true
 }
 
-// parseFields parses field lines up to the empty line, which must end p.
-func (h *Head) parseFields(p []byte) error {
+// parseFields parses field lines up to the empty line, which must end p. A field takes more memory than its line, so
+// their number has a limit of its own.
+func (h *Head) parseFields(p []byte, maxFields int) error {
 	for {
 		line, rest, err := cutLine(p)
 		if err != nil {
@@ -168,6 +169,9 @@
 		if !ok || !isToken(name) || !isFieldValue(value) {
 			return malformed("header line %.40q", line)
 		}
+		if maxFields > 0 && len(h.Fields) == maxFields {
+			return ErrHeadTooLarge
+		}
 		h.Fields = append(h.Fields, Field{name, value})
 		p = rest
 	}
--- a/internal/lab/soak/pressure.go
+++ b/internal/lab/soak/pressure.go
@@ -171,11 +171,11 @@
 	case HalfRequests:
 		body := largeBody(halfBodyBytes)
 		_, _ = io.WriteString(conn, p.head("", len(body))+body[:len(body)/2])
-		p.count(readStatus(in))
+		p.countAnswer(in)
 		_, _ = io.Copy(io.Discard, in)
 	case HalfHeads:
 		_, _ = io.WriteString(conn, strings.TrimSuffix(p.head(manyFields(), 0), "\r\n"))
-		p.count(readStatus(in))
+		p.countAnswer(in)
 		_, _ = io.Copy(io.Discard, in)
 	case SlowReaders:
 		_ = conn.SetReadBuffer(slowReadBytes)
@@ -194,16 +194,16 @@
 func (p *Pressure) exchange(in *bufio.Reader, end time.Time, write func() error) {
 	for time.Now().Before(end) {
 		if err := write(); err != nil {
-			p.count(readStatus(in))
+			p.countAnswer(in)
 			return
 		}
 		sentAt := time.Now()
-		status := readStatus(in)
+		status, ended := readAnswer(in)
 		if time.Now().After(end) { // the client has stopped waiting
 			return
 		}
 		p.noteAnswer(status, sentAt)
-		if status == 0 {
+		if ended {
 			return
 		}
 	}
@@ -243,29 +243,32 @@
 	return nil
 }
 
-// readStatus reads an answer and returns its status, or 0 if it does not come completely.
-func readStatus(in *bufio.Reader) int {
+// readAnswer reads an answer and returns its status, or 0 if it does not come completely, and whether the connection
+// has ended.
+func readAnswer(in *bufio.Reader) (status int, ended bool) {
 	response, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return 0
+		return 0, true
 	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return 0
+		return 0, true
 	}
 	if response.Close {
 		_, _ = io.Copy(io.Discard, in) // waits for the end of the connection
 	}
-	return response.StatusCode
+	return response.StatusCode, response.Close
+}
+
+// countAnswer reads and counts an answer. It reports whether the connection has ended.
+func (p *Pressure) countAnswer(in *bufio.Reader) (ended bool) {
+	status, ended := readAnswer(in)
+	p.count(status)
+	return ended
 }
 
 // countAnswers reads answers until the connection ends.
 func (p *Pressure) countAnswers(in *bufio.Reader) {
-	for {
-		status := readStatus(in)
-		if status == 0 {
-			return
-		}
-		p.count(status)
+	for !p.countAnswer(in) {
 	}
 }
 
