frontend: input behind a request in flight is read on, and refused beyond a limit

Cause: behind a request in flight reading paused at 64 KB.

Evidence: SIGQUIT during the flood shows InputBuffer.Process moving memory below RunIteration, finishResponse and Reject.

Why it works: reading never pauses behind a request. What exceeds 64 KB is not kept: its requests are counted by their framing as they arrive and refused with 503 in their order (PipelineOverflows, PipelinedRequestsRefused). A connection decodes at most 16 requests in one iteration, and none while its client does not read.

--- a/internal/decide/clientconn/limits.go
+++ b/internal/decide/clientconn/limits.go
@@ -5,6 +5,10 @@
 	MaxHeadFields = 128
 	// MaxConnectionOptions is the most options in the Connection fields of a request, which are compared with its fields.
 	MaxConnectionOptions = 16
+	// MaxPipelinedBytes is the most input behind the request in flight that is kept. Requests beyond it are refused.
+	MaxPipelinedBytes = 64 << 10
+	// MaxRequestsPerTurn is the most requests of one connection that are decoded in one iteration of the event loop.
+	MaxRequestsPerTurn = 16
 
 	// processDescriptorFraction is the fraction of the descriptors that is reserved for the process itself, in addition
 	// to baseProcessDescriptors: for the log, the endpoint list and descriptors that are being handed over.
--- a/internal/frontend/platform/conn.go
+++ b/internal/frontend/platform/conn.go
@@ -24,13 +24,17 @@
 
 // incomingRequest is the input of a connection and the state of the request that is being read.
 type incomingRequest struct {
-	decoder h1.Decoder
-	buffer  h1.InputBuffer
+	decoder  h1.Decoder
+	buffer   h1.InputBuffer
+	overflow *overflow // what the client has pipelined beyond what buffer may hold; nil = nothing
+	// scheduled is set while the connection waits in Server.scheduled for its next turn to decode.
+	scheduled bool
 	// firstByteAt is when the first byte of the request arrived, or of the input pipelined behind the request in flight.
 	firstByteAt eventloop.Nanos
 	// decoding is set while decodeRequests runs. Meanwhile pipelinedBytes is the number of bytes that follow the request
 	// being handled.
 	decoding       bool
+	needsData      bool // the decoder waits for more input than it has
 	pipelinedBytes int
 	head           requestHead
 	healthPath     string // path of a health check, which is not submitted to the dispatcher; "" = no health check
@@ -57,12 +61,18 @@
 		c.discard(len(p))
 		return
 	}
+	if c.incoming.overflow != nil {
+		c.incoming.overflow.receive(p)
+		c.decode(nil)
+		return
+	}
 	buffered := c.incoming.buffer.Len()
 	if c.lifecycle.state != clientconn.StateReadingRequest && buffered == 0 {
 		c.incoming.firstByteAt = now
 	}
-	if c.lifecycle.state == clientconn.StateActive && buffered+len(p) > maxPipelinedBytes {
-		c.transport.SetReadPaused(true)
+	if c.lifecycle.state == clientconn.StateActive && buffered+len(p) > clientconn.MaxPipelinedBytes {
+		c.beginOverflow(p)
+		return
 	}
 	c.decode(p)
 }
@@ -78,7 +88,9 @@
 	c.now = now
 	if c.response.requestID != 0 {
 		c.server.dispatcher.ClientWritable(now, c.response.requestID)
+		return
 	}
+	c.scheduleDecode()
 }
 
 // Closed implements eventloop.Handler.
--- a/internal/frontend/platform/evict.go
+++ b/internal/frontend/platform/evict.go
@@ -57,7 +57,7 @@
 	n := 0
 	for ; n < clientconn.MaxEvictionCandidates && heap.Len() > 0 && found == nil; n++ {
 		c := heap.Min()
-		if c.transport.InputEmpty() && c.transport.QueuedBytes() == 0 {
+		if c.transport.InputEmpty() && c.transport.QueuedBytes() == 0 && !c.incoming.scheduled {
 			found = c
 			break
 		}
--- a/internal/frontend/platform/lifecycle.go
+++ b/internal/frontend/platform/lifecycle.go
@@ -70,7 +70,7 @@
 // enterNextState enters the state that follows when no request is in flight on the connection.
 func (c *conn) enterNextState() {
 	listenerClosed := c.server.phase >= phaseListenerClosed
-	unread := listenerClosed && (c.pipelinedBytes() > 0 || !c.transport.InputEmpty())
+	unread := listenerClosed && (c.hasPipelinedInput() || !c.transport.InputEmpty())
 	next := clientconn.NextState(clientconn.AnswerEnd{
 		CloseAnnounced: c.response.closeAfter, ListenerClosed: listenerClosed, HasUnreadInput: unread,
 	})
--- a/internal/frontend/platform/receive.go
+++ b/internal/frontend/platform/receive.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"docksail/internal/decide/clientconn"
+	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/internal/h1"
 )
@@ -21,16 +22,70 @@
 	maxPooledBodies    = 16
 )
 
-// decode decodes the buffered input followed by p.
+// decode decodes the buffered input followed by p, and then the overflow, until a request is in flight or the turn of
+// the connection is over. In the latter case reading pauses until its next turn.
 func (c *conn) decode(p []byte) {
-	c.incoming.decoding = true
-	c.incoming.buffer.Process(p, c.decodeRequests)
-	c.incoming.decoding = false
+	in := &c.incoming
+	in.decoding = true
+	in.buffer.Process(p, c.decodeRequests)
+	in.decoding = false
+	turnOver := in.buffer.Len() > 0 && !in.needsData
+	if !turnOver && in.overflow != nil && c.isBetweenRequests() {
+		in.decoding = true
+		turnOver = c.refuseOverflow()
+		in.decoding = false
+	}
+	if c.closed || c.lifecycle.state == clientconn.StateLingering {
+		return
+	}
+	turnOver = turnOver && c.isBetweenRequests()
+	c.transport.SetReadPaused(turnOver)
+	if turnOver && !c.outputIsBlocked() { // otherwise OutputFlushed schedules it
+		c.scheduleDecode()
+	}
+}
+
+// isBetweenRequests reports whether the connection can begin a request.
+func (c *conn) isBetweenRequests() bool {
+	return !c.closed && c.lifecycle.state != clientconn.StateActive && c.lifecycle.state != clientconn.StateLingering
 }
 
-// decodeRequests decodes requests from the front of p until one is in flight. It returns how many bytes it consumed.
+// outputIsBlocked reports whether so much output waits for the client that no further request is decoded.
+func (c *conn) outputIsBlocked() bool { return c.transport.QueuedBytes() > backpressureBytes }
+
+// scheduleDecode gives the connection a turn to decode pipelined input in the next iteration of the loop, so that
+// clients that pipeline delay no others.
+func (c *conn) scheduleDecode() {
+	in := &c.incoming
+	if c.closed || in.scheduled || !c.hasPipelinedInput() {
+		return
+	}
+	in.scheduled = true
+	c.server.scheduleTurn(c)
+}
+
+// takeTurn decodes pipelined input, if no request is in flight.
+func (c *conn) takeTurn(now eventloop.Nanos) {
+	c.incoming.scheduled = false
+	if c.isBetweenRequests() {
+		c.now = now
+		c.decode(nil)
+	}
+}
+
+// mayDecode reports whether the connection may decode another request in its turn, in which it has decoded some.
+func (c *conn) mayDecode(decoded int) bool {
+	return c.isBetweenRequests() && decoded < clientconn.MaxRequestsPerTurn && !c.outputIsBlocked()
+}
+
+// decodeRequests decodes requests from the front of p until one is in flight or the turn is over. It returns how many
+// bytes it consumed.
 func (c *conn) decodeRequests(p []byte) (consumed int) {
-	for !c.closed && c.lifecycle.state != clientconn.StateActive {
+	c.incoming.needsData = len(p) == 0
+	for turn := 0; !c.closed && c.lifecycle.state != clientconn.StateActive; {
+		if c.incoming.decoder.AtMessageStart() && !c.mayDecode(turn) && c.lifecycle.state != clientconn.StateLingering {
+			return consumed
+		}
 		if c.lifecycle.state == clientconn.StateLingering {
 			return len(p)
 		}
@@ -46,8 +101,10 @@
 		}
 		switch event {
 		case h1.NeedData:
+			c.incoming.needsData = true
 			return consumed
 		case h1.MessageHead:
+			turn++
 			c.handleHead()
 		case h1.BodyData:
 			c.appendBody(data)
@@ -71,6 +128,9 @@
 	}
 }
 
+// hasPipelinedInput reports whether input has arrived after the request that is in flight or was the last one.
+func (c *conn) hasPipelinedInput() bool { return c.pipelinedBytes() > 0 || c.incoming.overflow != nil }
+
 // pipelinedBytes returns how many bytes have arrived after the request that is in flight or was the last one.
 func (c *conn) pipelinedBytes() int {
 	if c.incoming.decoding {
--- a/internal/frontend/platform/respond.go
+++ b/internal/frontend/platform/respond.go
@@ -65,7 +65,7 @@
 // isLastResponse reports whether the server drains and no further request has arrived, so that the connection ends
 // with this response.
 func (c *conn) isLastResponse() bool {
-	return c.server.phase >= phaseDraining && c.pipelinedBytes() == 0
+	return c.server.phase >= phaseDraining && !c.hasPipelinedInput()
 }
 
 // appendSeconds appends a duration in seconds with three decimals, rounded up.
@@ -75,7 +75,8 @@
 	return append(b, '.', byte('0'+ms/100%10), byte('0'+ms/10%10), byte('0'+ms%10))
 }
 
-// finishResponse ends a response, enters the connection's next state and decodes the input that has arrived meanwhile.
+// finishResponse ends a response and enters the connection's next state. Input that has arrived meanwhile is decoded in
+// the next iteration of the loop.
 func (c *conn) finishResponse() {
 	if c.response.requestID != 0 {
 		c.clearRequest()
@@ -83,11 +84,9 @@
 	c.releaseBody()
 	c.response.headSent = false
 	c.enterNextState()
-	if c.lifecycle.state == clientconn.StateLingering || c.incoming.decoding {
-		return
+	if c.lifecycle.state != clientconn.StateLingering && !c.incoming.decoding {
+		c.scheduleDecode()
 	}
-	c.transport.SetReadPaused(false)
-	c.decode(nil)
 }
 
 // WriteTokens implements frontend.ResponseWriter. It writes the head of the response before the first piece.
--- a/internal/frontend/platform/server.go
+++ b/internal/frontend/platform/server.go
@@ -20,8 +20,6 @@
 	maxOutputBytes = 1 << 20 // queued output of one connection above which it is closed
 	// backpressureBytes is the queued output of one connection above which the server is held back.
 	backpressureBytes = 128 << 10
-	// maxPipelinedBytes is the input after a request in flight above which reading pauses.
-	maxPipelinedBytes = 64 << 10
 )
 
 // Limits bounds the resources that clients may use.
@@ -32,14 +30,17 @@
 
 // Counts counts events since the start.
 type Counts struct {
-	Requests               uint64 // complete requests with a valid head and body, without DuplicateIDs
-	InvalidRequests        uint64 // requests with an error of the client, and those beyond Limits.PartialRequestBytes
-	DuplicateIDs           uint64 // requests with the ID of one in flight
-	ConnectionLimitHits    uint64 // new connections beyond Limits.Connections
-	ConnectionsRefused     uint64 // those of them for which no other connection was closed
-	OutputOverflows        uint64 // connections closed because the client did not read its output
-	StreamsTruncated       uint64 // responses that ended without their last chunk
-	ResponsesByStatusClass [6]uint64
+	Requests            uint64 // complete requests with a valid head and body, without DuplicateIDs
+	InvalidRequests     uint64 // requests with an error of the client, and those beyond Limits.PartialRequestBytes
+	DuplicateIDs        uint64 // requests with the ID of one in flight
+	ConnectionLimitHits uint64 // new connections beyond Limits.Connections
+	ConnectionsRefused  uint64 // those of them for which no other connection was closed
+	OutputOverflows     uint64 // connections closed because the client did not read its output
+	PipelineOverflows   uint64 // times that a client pipelined more than is kept
+	// PipelinedRequestsRefused counts the requests that were refused because of that. They are no InvalidRequests.
+	PipelinedRequestsRefused uint64
+	StreamsTruncated         uint64 // responses that ended without their last chunk
+	ResponsesByStatusClass   [6]uint64
 }
 
 // Server accepts clients on an event loop. It must be used on the loop's goroutine only.
@@ -64,6 +65,10 @@
 	partialBytes int64                   // total size of the bodies of incomplete requests
 	bodyPool     [][]byte                // unused buffers for bodies
 	scratch      []byte                  // buffer for the response that is being written
+	scheduled    []*conn                 // connections that decode pipelined input in the next iteration
+	// nextScheduled is the memory of scheduled while its connections take their turns.
+	nextScheduled []*conn
+	turnTimer     eventloop.Timer
 }
 
 // New returns a frontend, which accepts clients from the call of Listen on. isReady reports whether the dispatcher can
@@ -106,6 +111,32 @@
 // ConnCount returns the number of open connections.
 func (s *Server) ConnCount() int { return s.connCount }
 
+// newRequestDecoder returns a decoder for the requests of a connection.
+func newRequestDecoder() h1.Decoder {
+	return h1.NewRequestDecoder(h1.Limits{
+		HeadBytes: maxHeadBytes, HeadFields: clientconn.MaxHeadFields, BodyBytes: maxBodyBytes,
+	})
+}
+
+// scheduleTurn has a connection decode pipelined input in the next iteration of the loop.
+func (s *Server) scheduleTurn(c *conn) {
+	s.scheduled = append(s.scheduled, c)
+	if !s.turnTimer.IsSet() {
+		s.loop.SetTimer(&s.turnTimer, s.loop.Now()+1, s.takeTurns)
+	}
+}
+
+// takeTurns gives each scheduled connection its turn. Connections that need another one get it in the next iteration.
+func (s *Server) takeTurns(now eventloop.Nanos) {
+	conns := s.scheduled
+	s.scheduled = s.nextScheduled[:0]
+	for _, c := range conns {
+		c.takeTurn(now)
+	}
+	clear(conns)
+	s.nextScheduled = conns
+}
+
 // accept returns the handler of a new connection, or nil to close it.
 func (s *Server) accept(transport *eventloop.Conn, _ netip.AddrPort) eventloop.Handler {
 	if s.connCount >= s.limits.Connections && !s.evict() {
@@ -114,9 +145,8 @@
 	}
 	s.connCount++
 	s.lastSequence++
-	limits := h1.Limits{HeadBytes: maxHeadBytes, HeadFields: clientconn.MaxHeadFields, BodyBytes: maxBodyBytes}
 	c := &conn{server: s, transport: transport, sequence: s.lastSequence}
-	c.incoming.decoder = h1.NewRequestDecoder(limits)
+	c.incoming.decoder = newRequestDecoder()
 	c.lifecycle.onTimer = c.stateTimedOut
 	transport.SetOutputLimit(maxOutputBytes)
 	transport.NotifyHalfCloseWhilePaused()
--- a/internal/h1/golden_test.go
+++ b/internal/h1/golden_test.go
@@ -69,7 +69,8 @@
 	},
 	{
 		"trailer of too many fields", false,
-		Limits{HeadBytes: 1 << 10, HeadFields: 3}, goldenChunked + "0\r\na:\r\nb:\r\nc:\r\nd:\r\n\r\n",
+		Limits{HeadBytes: 1 << 10, HeadFields: 3},
+		goldenChunked + "0\r\na:\r\nb:\r\nc:\r\nd:\r\n\r\n",
 	},
 	{"length twice", false, testLimits, goldenPost + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc"},
 	{"length and chunked", false, testLimits, goldenPost + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc"},
--- a/internal/h1/input.go
+++ b/internal/h1/input.go
@@ -9,6 +9,24 @@
 // Len returns the number of kept bytes.
 func (b *InputBuffer) Len() int { return len(b.pending) }
 
+// Bytes returns the kept bytes, which are valid until the next call of another method.
+func (b *InputBuffer) Bytes() []byte { return b.pending }
+
+// Cap returns the size of the memory that the buffer holds.
+func (b *InputBuffer) Cap() int { return cap(b.pending) }
+
+// Append keeps p behind the bytes that are kept already.
+func (b *InputBuffer) Append(p []byte) { b.pending = append(b.pending, p...) }
+
+// Truncate drops all but the first n kept bytes, and the memory that they do not need.
+func (b *InputBuffer) Truncate(n int) {
+	if n == 0 {
+		b.clear()
+		return
+	}
+	b.pending = append(make([]byte, 0, n), b.pending[:n]...)
+}
+
 // Process calls consume with the kept bytes followed by p. consume returns how many bytes it has consumed from the
 // front; the rest is kept for the next call.
 func (b *InputBuffer) Process(p []byte, consume func(p []byte) int) {
--- a/internal/lab/soak/pressure.go
+++ b/internal/lab/soak/pressure.go
@@ -268,7 +268,8 @@
 
 // countAnswers reads answers until the connection ends.
 func (p *Pressure) countAnswers(in *bufio.Reader) {
-	for !p.countAnswer(in) {
+	for ended := false; !ended; {
+		ended = p.countAnswer(in)
 	}
 }
 
