decide/memory: one budget for the bytes that peers make the process hold

Cause: no limit counted what was held. Bodies of incomplete requests had a limit (a sixteenth of the memory) that counted length, not capacity; requests in flight had one of their number, at an assumed 64 KB each. A request of 255 KB was held three times: the frontend's buffer, the record's copy (kept in the record's slot for good), and the output to its server, which grew by doubling. Heads, pipelined input, output of clients that do not read and half-arrived events of servers were not counted at all.

Connections, incomplete requests, requests in flight, bytes of servers and output charge it by capacity. Large bodies are handed over and written to the server from where they are; a request's message is dropped when its answer begins.

--- a/internal/backend/platform/attempt.go
+++ b/internal/backend/platform/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"docksail/internal/decide/inflight"
+	"docksail/internal/decide/memory"
 	"docksail/internal/decide/serverconn"
 	"docksail/internal/dispatch"
 	"docksail/internal/eventloop"
@@ -91,9 +92,14 @@
 	b = append(b, "\r\nContent-Length: "...)
 	b = strconv.AppendInt(b, int64(len(req.Raw)), 10)
 	b = append(b, "\r\n\r\n"...)
-	b = append(b, req.Raw...)
+	if !memory.IsLarge(len(req.Raw)) {
+		b = append(b, req.Raw...)
+	}
 	c.backend.scratch = b
 	c.socket.Write(b)
+	if memory.IsLarge(len(req.Raw)) {
+		c.socket.WriteShared(req.Raw)
+	}
 	return nil
 }
 
--- a/internal/backend/platform/backend.go
+++ b/internal/backend/platform/backend.go
@@ -16,6 +16,7 @@
 	"strconv"
 
 	"docksail/internal/decide/inflight"
+	"docksail/internal/decide/memory"
 	"docksail/internal/decide/serverconn"
 	"docksail/internal/dispatch"
 	"docksail/internal/eventloop"
@@ -49,6 +50,7 @@
 	connPolicy     serverconn.ConnPolicy
 	connectTimeout eventloop.Nanos
 	maxConns       int
+	memory         *memory.Budget // for the bytes that servers send; nil = not limited
 	openConns      int
 	lastConnNumber uint64
 	idleConns      indexedheap.Heap[*conn] // the longest idle one is first
@@ -62,11 +64,11 @@
 	candidates []serverconn.ReleaseCandidate // scratch buffer of chooseServer
 }
 
-// New returns a backend with at most maxConns connections to servers. It fetches the endpoint list from the discovery
-// service at discoveryAddr.
+// New returns a backend with at most maxConns connections to servers, which charge what servers send to budget. It
+// fetches the endpoint list from the discovery service at discoveryAddr.
 func New(
 	loop *eventloop.Loop, dispatcher *dispatch.Dispatcher, log *slog.Logger, config *platformconfig.Config,
-	maxConns int, discoveryAddr netip.AddrPort,
+	budget *memory.Budget, maxConns int, discoveryAddr netip.AddrPort,
 ) *Backend {
 	b := &Backend{
 		loop:            loop,
@@ -80,6 +82,7 @@
 		byID:            make(map[policy.ServerID]*server),
 		connectTimeout:  int64(config.ConnectTimeout),
 		maxConns:        maxConns,
+		memory:          budget,
 		idleConns:       newIdleHeap(),
 		releaseTrackers: make(map[policy.RequestID]*releaseTracker),
 		releaseTime:     int64(config.ReleaseTime),
--- a/internal/backend/platform/conn.go
+++ b/internal/backend/platform/conn.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"unsafe"
 
 	"docksail/internal/decide/inflight"
+	"docksail/internal/decide/memory"
+	"docksail/internal/decide/serverconn"
 	"docksail/internal/eventloop"
 	"docksail/internal/h1"
 	"docksail/policy"
@@ -22,6 +25,7 @@
 	connected bool
 	removed   bool // closed, and no longer counted in Backend.openConns
 	input     h1.InputBuffer
+	memory    memory.Account // of the input and the response
 
 	// In the pool.
 	idle      bool
@@ -54,6 +58,7 @@
 	c.backend.loop.CancelTimer(&c.timer)
 	c.backend.idleConns.Remove(c)
 	c.backend.openConns--
+	c.memory.Set(0)
 	if i := slices.Index(c.server.conns, c); i >= 0 {
 		c.server.conns = slices.Delete(c.server.conns, i, i+1)
 	}
@@ -122,6 +127,24 @@
 	}
 	c.exchange.response.started = true
 	c.input.Process(p, func(p []byte) int { return c.decodeResponse(now, p) })
+	c.chargeInput(now)
+}
+
+// chargeInput charges the bytes that the server has sent, and that are still held, to the budget. If there is no room
+// for them, the exchange ends.
+func (c *conn) chargeInput(now eventloop.Nanos) {
+	if c.removed {
+		return
+	}
+	response := &c.exchange.response
+	fields := cap(response.decoder.Head.Fields) * int(unsafe.Sizeof(h1.Field{}))
+	held := int64(serverconn.ConnectionBytes + c.input.Cap() + cap(response.buffered) + fields)
+	admitted := held <= c.memory.Bytes() || c.backend.memory.Admits(memory.Responses, held-c.memory.Bytes())
+	c.memory.Set(held)
+	if !admitted && c.exchange.inProgress() {
+		c.backend.Counts.ResponsesOutOfMemory++
+		c.failInvalidResponse(now, errOutOfMemory)
+	}
 }
 
 // PeerHalfClosed implements eventloop.Handler. The end of input completes a response without a length.
--- a/internal/backend/platform/discovery.go
+++ b/internal/backend/platform/discovery.go
@@ -4,6 +4,7 @@
 	"net/netip"
 
 	decide "docksail/internal/decide/discovery"
+	"docksail/internal/decide/memory"
 	"docksail/internal/decide/serverconn"
 	"docksail/internal/eventloop"
 	"docksail/internal/h1"
@@ -38,7 +39,7 @@
 		return
 	}
 	w := &watch{
-		discovery: d, addr: d.addr,
+		discovery: d, addr: d.addr, memory: d.backend.memory.NewAccount(memory.Responses),
 		decoder: h1.NewResponseDecoder(h1.Limits{HeadBytes: maxHeadBytes, HeadFields: serverconn.MaxHeadFields}),
 	}
 	socket, err := d.backend.loop.Dial(d.addr, decide.ConnectTimeout, w)
--- a/internal/backend/platform/discoverywatch.go
+++ b/internal/backend/platform/discoverywatch.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	decide "docksail/internal/decide/discovery"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/h1"
 )
@@ -21,6 +22,7 @@
 	decoder   h1.Decoder
 	input     h1.InputBuffer
 	objects   objectSplitter
+	memory    memory.Account // of input and objects
 	timer     eventloop.Timer
 	ended     bool
 	timedOut  bool // it was closed because no data came in time
@@ -74,6 +76,9 @@
 // Received implements eventloop.Handler.
 func (w *watch) Received(now eventloop.Nanos, p []byte) {
 	w.input.Process(p, func(p []byte) int { return w.decode(now, p) })
+	if !w.ended {
+		w.memory.Set(int64(w.input.Cap() + cap(w.objects.partial)))
+	}
 }
 
 // decode decodes bytes of the response and returns how many it has consumed.
@@ -146,6 +151,7 @@
 func (w *watch) Closed(now eventloop.Nanos, err error) {
 	d := w.discovery
 	d.backend.loop.CancelTimer(&w.timer)
+	w.memory.Set(0)
 	if w.ended {
 		return
 	}
--- a/internal/backend/platform/harness_test.go
+++ b/internal/backend/platform/harness_test.go
@@ -35,7 +35,7 @@
 	})
 	config.Zones, config.Kinds, config.Roles = []string{"z"}, []string{"decode"}, []policy.Role{policy.Decode}
 	config.ReleaseTime = 1e9
-	backend := New(loop, dispatcher, log, &config, 10, netip.AddrPort{})
+	backend := New(loop, dispatcher, log, &config, nil, 10, netip.AddrPort{})
 	dispatcher.Attach(idleFrontend{}, backend)
 	return backend
 }
--- a/internal/backend/platform/pool.go
+++ b/internal/backend/platform/pool.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 
+	"docksail/internal/decide/memory"
+	"docksail/internal/decide/serverconn"
 	"docksail/internal/eventloop"
 	"docksail/internal/indexedheap"
 	"docksail/policy"
@@ -43,7 +45,9 @@
 // dial starts to connect to a server. The loop calls conn.Opened or conn.Closed with the result.
 func (b *Backend) dial(srv *server) (*conn, error) {
 	b.lastConnNumber++
-	c := &conn{backend: b, server: srv, number: b.lastConnNumber}
+	c := &conn{
+		backend: b, server: srv, number: b.lastConnNumber, memory: b.memory.NewAccount(memory.Responses),
+	}
 	c.onTimer = c.handleTimer
 	socket, err := b.loop.Dial(srv.listing.addr, b.connectTimeout, c)
 	if err != nil {
@@ -53,6 +57,8 @@
 	b.Counts.Dialed++
 	b.openConns++
 	c.socket = socket
+	c.socket.SetReadLimit(serverconn.MaxReadBytes)
+	c.memory.Set(serverconn.ConnectionBytes)
 	srv.conns = append(srv.conns, c)
 	return c, nil
 }
--- a/internal/backend/platform/response.go
+++ b/internal/backend/platform/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"time"
 
@@ -15,6 +16,7 @@
 	maxHeadBytes        = 16 << 10 // of the head of a response
 	maxChunkBytes       = 64 << 10 // of one chunk of a stream, or of its start up to the first event
 	maxPrefillBodyBytes = 256      // of the body of the response to a prefill attempt that are kept
+	maxKeptBufferBytes  = 1 << 10  // of the buffer that a connection keeps for its next response
 )
 
 // responseLimits bound the response of a server.
@@ -22,6 +24,9 @@
 	HeadBytes: maxHeadBytes, HeadFields: serverconn.MaxHeadFields, ChunkBytes: maxChunkBytes,
 }
 
+// errOutOfMemory ends a response for whose bytes the budget has no room.
+var errOutOfMemory = errors.New("no memory for more of the response")
+
 // response is the part of the response to an exchange that has been received.
 type response struct {
 	decoder      h1.Decoder
@@ -37,11 +42,19 @@
 func (r *response) reset() {
 	*r = response{
 		decoder:    h1.NewResponseDecoder(responseLimits),
-		buffered:   r.buffered[:0],
+		buffered:   r.keptBuffer(),
 		loadReport: policy.NoLoadReport,
 	}
 }
 
+// keptBuffer returns the buffer for the next response: the present one, unless it is large.
+func (r *response) keptBuffer() []byte {
+	if cap(r.buffered) > maxKeptBufferBytes {
+		return nil
+	}
+	return r.buffered[:0]
+}
+
 // decodeResponse decodes bytes of the response and returns how many it has consumed.
 func (c *conn) decodeResponse(now eventloop.Nanos, p []byte) (n int) {
 	response := &c.exchange.response
--- a/internal/backend/platform/stats.go
+++ b/internal/backend/platform/stats.go
@@ -24,8 +24,10 @@
 	// Responses.
 	InvalidResponses uint64 // responses that could not be decoded
 	ExtraBytes       uint64 // inputs that belong to no response
-	LoadReports      uint64
-	PrefixCache      PrefixCacheStats
+	// ResponsesOutOfMemory counts those InvalidResponses that ended because the budget had no room for more of them.
+	ResponsesOutOfMemory uint64
+	LoadReports          uint64
+	PrefixCache          PrefixCacheStats
 
 	// Releases.
 	Releases         uint64
--- a/internal/decide/clientconn/eviction.go
+++ b/internal/decide/clientconn/eviction.go
@@ -1,5 +1,11 @@
 package clientconn
 
+// MayRefuseIncomplete reports whether a request that has been incomplete since then may be refused to make room for the
+// bytes of others.
+func MayRefuseIncomplete(now, incompleteSince int64) bool {
+	return now-incompleteSince >= minIncompleteTime
+}
+
 // MaxEvictionCandidates bounds the connections in one state that are examined to find one that may be evicted.
 const MaxEvictionCandidates = 4
 
--- a/internal/decide/clientconn/limits.go
+++ b/internal/decide/clientconn/limits.go
@@ -17,8 +17,6 @@
 	// serverConnFraction is the fraction of all descriptors for connections to servers. Client connections get the
 	// rest, which is more: a request has one outstanding attempt at most, and not every client sends a request.
 	serverConnFraction = 1.0 / 3
-	// partialRequestFraction is the fraction of the process's memory for partly received requests.
-	partialRequestFraction = 1.0 / 16
 )
 
 // DescriptorShares returns how many descriptors client connections and connections to servers may use, of the given
@@ -29,8 +27,15 @@
 	return max(descriptors-forProcess-servers, 1), servers
 }
 
-// MaxPartialRequestBytes returns how many bytes of partly received requests may be kept in a process with the given
-// memory in bytes.
-func MaxPartialRequestBytes(memory int64) int64 {
-	return int64(partialRequestFraction * float64(memory))
+// knownBodyFraction is the fraction of a body of known length from which on all of its memory is reserved at once, so
+// that it is not copied again while it grows.
+const knownBodyFraction = 1.0 / 4
+
+// GrownBodyBytes returns the capacity of the buffer for a body that has grown to size bytes. contentLength is the
+// length that the client has stated, or negative; no body exceeds limit.
+func GrownBodyBytes(size int, contentLength, limit int64) int {
+	if contentLength > 0 && float64(size) >= knownBodyFraction*float64(contentLength) {
+		return int(contentLength)
+	}
+	return int(min(2*int64(size), limit))
 }
--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -15,6 +15,7 @@
 	PromptTooLong               // the prompt exceeds the token limit
 	DeadlineTooClose            // no answer could reach the client before its deadline
 	EndpointListUnknown         // no endpoint list has been received yet
+	OutOfMemory                 // the memory for requests in progress is in use
 )
 
 // verdictTexts are part of the interface: clients receive them as the reason for a rejection.
@@ -25,6 +26,7 @@
 	PromptTooLong:       "prompt too long",
 	DeadlineTooClose:    "no time left",
 	EndpointListUnknown: "no engines known",
+	OutOfMemory:         "too many bytes in hand",
 }
 
 // String returns the text of the verdict. Clients receive that of a rejection.
--- a/internal/decide/serverconn/serverconn.go
+++ b/internal/decide/serverconn/serverconn.go
@@ -4,8 +4,14 @@
 // The package does no I/O and reads no clock. All times are nanoseconds on one clock of the caller.
 package serverconn
 
-// MaxHeadFields is the most fields in the head of a response.
-const MaxHeadFields = 128
+const (
+	// MaxHeadFields is the most fields in the head of a response.
+	MaxHeadFields = 128
+	// MaxReadBytes is the most bytes that are read from a server at once, and so relayed after its client is blocked.
+	MaxReadBytes = 16 << 10
+	// ConnectionBytes is what a connection takes beside its buffers.
+	ConnectionBytes = 2 << 10
+)
 
 const (
 	// minIdleBeforeReuse is how long a connection stays idle before it is reused, in nanoseconds: a server may send a
--- a/internal/dispatch/answers.go
+++ b/internal/dispatch/answers.go
@@ -3,6 +3,7 @@
 import (
 	"docksail/internal/decide/inflight"
 	"docksail/internal/decide/intake"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -109,12 +110,19 @@
 	d.removeIfDone(req)
 }
 
-// removeIfDone removes a request that is answered, has no attempt outstanding and no KV state held for it.
+// removeIfDone removes a request that is answered, has no attempt outstanding and no KV state held for it. The message
+// of a request that is answered is dropped before that, once no attempt is being sent.
 func (d *Dispatcher) removeIfDone(req *Request) {
-	if req.Done() {
+	switch {
+	case req.Done():
 		d.loop.CancelTimer(&req.attemptTimer)
 		d.loop.CancelTimer(&req.answerTimer)
+		req.releaseMessage()
+		req.chargeMemory(0)
 		d.requests.Remove(req.ID)
+	case req.Answered() && (req.attempt == nil || req.attempt.DeliveryState() >= inflight.Sent):
+		req.releaseMessage()
+		req.chargeMemory(memory.RequestBytes)
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"docksail/internal/decide/intake"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/state/requesttable"
 	"docksail/policy"
@@ -46,6 +47,8 @@
 	// TenantNames are the module's tenants, in its order; empty if tenants are not distinguished.
 	TenantNames []string
 	Intake      intake.Limits
+	// Memory is the budget for the bytes of requests; nil = not limited.
+	Memory *memory.Budget
 	// MaxRetryAfter limits the delay after which a rejected client is asked to retry.
 	MaxRetryAfter int64
 	// AnswerLeadTime is how long before a client's deadline its answer must be sent.
@@ -80,6 +83,7 @@
 	intake       intake.Limits
 	admission    admissionControl
 	requests     requesttable.Table[Request]
+	memory       *memory.Budget
 	incarnation  uint64
 	originUnixNs int64 // Unix time of the loop's time 0
 
@@ -128,7 +132,7 @@
 func newDispatcher(loop *eventloop.Loop, log *slog.Logger, config *Config) *Dispatcher {
 	d := &Dispatcher{
 		loop: loop, log: log, debug: log.Enabled(context.Background(), slog.LevelDebug),
-		module: config.Module, intake: config.Intake,
+		module: config.Module, intake: config.Intake, memory: config.Memory,
 		incarnation: config.Incarnation, originUnixNs: loop.OriginUnixNanos(),
 		classes: make(map[string]policy.ClassID), classNames: config.ClassNames, tenants: make(map[string]policy.TenantID),
 		keyHashSeed: config.KeyHashSeed, answerLeadTime: config.AnswerLeadTime,
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -5,6 +5,7 @@
 
 	"docksail/internal/decide/admission"
 	"docksail/internal/decide/inflight"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -21,6 +22,7 @@
 
 	dispatcher *Dispatcher
 	attempt    Attempt // the backend's record of the outstanding attempt; nil = none
+	memory     memory.Account
 	clientState
 	admissionState
 	timers
@@ -87,7 +89,7 @@
 	*req = Request{
 		RequestState: inflight.RequestState{ID: id},
 		Message: Message{
-			Raw: append(req.Raw[:0], r.Raw...), ClientRequestID: append(req.ClientRequestID[:0], r.ClientRequestID...),
+			Raw: req.takeRaw(r), ClientRequestID: append(req.ClientRequestID[:0], r.ClientRequestID...),
 			Path: append(req.Path[:0], r.Path...), Header: append(req.Header[:0], r.Header...),
 			PreviousAttempts: uint32(r.PreviousAttempts), TraceParent: r.TraceParent,
 		},
@@ -95,7 +97,9 @@
 		dispatcher:   d,
 		clientState:  clientState{response: response, class: class, arrivedAt: now},
 		timers:       req.timers,
+		memory:       req.memory,
 	}
+	req.chargeMemory(memory.RequestBytes)
 	if req.BackendState != nil {
 		req.BackendState.Reset()
 	}
@@ -108,6 +112,26 @@
 	}
 }
 
+// takeRaw returns the message of an arriving request: the client's own if it is handed over, else a copy.
+func (req *Request) takeRaw(r *frontend.Request) []byte {
+	if r.RawHandedOver {
+		return r.Raw
+	}
+	return append(req.Raw[:0], r.Raw...)
+}
+
+// chargeMemory charges the buffers of the record to the budget, and what else the request takes.
+func (req *Request) chargeMemory(otherBytes int64) {
+	req.memory.Set(otherBytes + int64(cap(req.Raw)+cap(req.ClientRequestID)+cap(req.Path)+cap(req.Header)))
+}
+
+// releaseMessage drops the message, which no attempt needs any more, if the record would keep much memory for it.
+func (req *Request) releaseMessage() {
+	if cap(req.Raw)+cap(req.Header)+cap(req.Path) > memory.KeptRequestBytes {
+		req.Raw, req.Header, req.Path = nil, nil, nil
+	}
+}
+
 // PolicyRequest returns the module's description of the request.
 func (req *Request) PolicyRequest() policy.Request { return req.policyRequest }
 
--- a/internal/dispatch/streaming.go
+++ b/internal/dispatch/streaming.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"docksail/internal/decide/memory"
 	"docksail/internal/decide/streamwatch"
 	"docksail/internal/eventloop"
 	"docksail/policy"
@@ -35,6 +36,8 @@
 	d.loop.CancelTimer(&req.answerTimer)
 	d.admission.firstTokenReceived(now, req)
 	req.MarkAnswerStarted()
+	req.releaseMessage() // nothing is sent for a request whose answer has begun
+	req.chargeMemory(memory.RequestBytes)
 	d.module.StreamStarted(d.ModuleTime(now), req.ID, attempt, policy.Nanos(now-req.StartedAt))
 	d.checkStream(now, req)
 }
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"docksail/internal/decide/intake"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -28,6 +29,9 @@
 		return 0, err
 	}
 	id, req := d.requests.Add()
+	if req.dispatcher == nil { // the record is new
+		req.memory = d.memory.NewAccount(memory.Requests)
+	}
 	deadline := now + timeLeft
 	queueRequest, err := d.admission.enqueue(now, arrival{
 		request: r, id: id, tenant: tenant, deadline: deadline, latencyTarget: latencyTarget,
@@ -77,6 +81,9 @@
 // checkIntake returns an error if intake does not accept the request.
 func (d *Dispatcher) checkIntake(r *frontend.Request, timeLeft, latencyTarget int64) error {
 	verdict, retryAfter := d.intake.Check(d.requests.Len(), r.PromptTokens, timeLeft, latencyTarget)
+	if verdict == intake.Accepted && !d.memory.Admits(memory.Requests, requestBytes(r)) {
+		verdict, retryAfter = intake.OutOfMemory, latencyTarget/2
+	}
 	if verdict == intake.Accepted {
 		return nil
 	}
@@ -88,6 +95,11 @@
 		frontend.ErrInvalidRequest)
 }
 
+// requestBytes returns the memory that a request takes while it is in flight.
+func requestBytes(r *frontend.Request) int64 {
+	return memory.RequestBytes + int64(len(r.Raw)+len(r.ClientRequestID)+len(r.Path)+len(r.Header))
+}
+
 // policyRequest returns the module's description of a request.
 func (d *Dispatcher) policyRequest(id policy.RequestID, class policy.ClassID, tenant policy.TenantID,
 	r *frontend.Request, deadline policy.Nanos,
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -38,7 +38,9 @@
 
 	output               []byte // queued output, in a buffer of the loop's pool; nil if there is none
 	written              int    // bytes of output that have been written
+	shared               []byte // queued behind output, in memory of the caller of WriteShared
 	outputLimit          int    // maximum of queued bytes; 0 = no limit
+	hadOutput            bool   // output has been queued since the last flush of all of it
 	flushQueued          bool   // is in the loop's flushQueue
 	writeBlocked         bool   // the last write left output queued
 	closeAfterFlush      bool
@@ -46,6 +48,7 @@
 
 	readOpen                   bool // the peer has not closed its sending side
 	readPaused                 bool
+	readLimit                  int // bytes of one read; 0 = maxReadBytes
 	notifyHalfCloseWhilePaused bool
 
 	sim simulatedConn
@@ -68,7 +71,7 @@
 func (c *Conn) SetOutputLimit(limit int) { c.outputLimit = limit }
 
 // QueuedBytes returns the number of bytes of output that have not been written yet.
-func (c *Conn) QueuedBytes() int { return len(c.output) - c.written }
+func (c *Conn) QueuedBytes() int { return len(c.output) - c.written + len(c.shared) }
 
 // WriteBlocked reports whether the socket's buffer was full at the last write, so that output is still queued.
 func (c *Conn) WriteBlocked() bool { return c.writeBlocked }
@@ -82,10 +85,11 @@
 	if c.fd < 0 || c.closeAfterFlush || c.closeWriteAfterFlush || len(p) == 0 {
 		return
 	}
-	if c.output == nil {
-		c.output = c.loop.buffers.get()
+	if len(c.shared) > 0 { // keeps the order
+		c.appendOutput(c.shared)
+		c.shared = nil
 	}
-	c.output = append(c.output, p...)
+	c.appendOutput(p)
 	if c.outputLimit > 0 && c.QueuedBytes() > c.outputLimit {
 		c.terminate(ErrOutputLimit)
 		return
@@ -93,6 +97,39 @@
 	c.queueFlush()
 }
 
+// WriteShared queues p like Write, but without a copy: p must not change until it has been written or the connection is
+// closed.
+func (c *Conn) WriteShared(p []byte) {
+	if c.loop.isSimulated() || len(c.shared) > 0 {
+		c.Write(p)
+		return
+	}
+	if c.fd < 0 || c.closeAfterFlush || c.closeWriteAfterFlush || len(p) == 0 {
+		return
+	}
+	c.shared, c.hadOutput = p, true
+	c.queueFlush()
+}
+
+// appendOutput copies p to the end of the output.
+func (c *Conn) appendOutput(p []byte) {
+	c.hadOutput = true
+	if c.output == nil {
+		c.output = c.loop.buffers.get(len(p))
+		c.loop.outputBytes += cap(c.output)
+	}
+	before := cap(c.output)
+	c.output = append(c.output, p...)
+	c.loop.outputBytes += cap(c.output) - before
+}
+
+// releaseOutput drops the queued output and returns its buffer to the pool.
+func (c *Conn) releaseOutput() {
+	c.loop.outputBytes -= cap(c.output)
+	c.loop.buffers.put(c.output)
+	c.output, c.written, c.shared = nil, 0, nil
+}
+
 // queueFlush makes the loop flush the connection at the end of the iteration.
 func (c *Conn) queueFlush() {
 	if !c.flushQueued {
@@ -138,6 +175,10 @@
 // the half-close is then not read: it is of no use once the client has left. Simulated connections are reset instead.
 func (c *Conn) NotifyHalfCloseWhilePaused() { c.notifyHalfCloseWhilePaused = true }
 
+// SetReadLimit bounds the bytes of one read, so that a handler which pauses reading receives little more. 0 means
+// maxReadBytes.
+func (c *Conn) SetReadLimit(limit int) { c.readLimit = limit }
+
 // SetReadPaused pauses or resumes reading from the peer.
 func (c *Conn) SetReadPaused(paused bool) {
 	c.readPaused = paused
@@ -159,8 +200,7 @@
 		c.closeSocket(err)
 	}
 	c.fd, c.closeErr = -1, err
-	c.loop.buffers.put(c.output)
-	c.output, c.written = nil, 0
+	c.releaseOutput()
 	if c.counted {
 		c.counted = false
 		c.loop.connCount--
--- a/internal/eventloop/conn_io.go
+++ b/internal/eventloop/conn_io.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"errors"
 	"os"
 
 	"golang.org/x/sys/unix"
@@ -81,7 +82,11 @@
 
 // read passes at most one buffer of input to the handler. It reports whether there may be more input.
 func (c *Conn) read() bool {
-	n, err := unix.Read(c.fd, c.loop.readBuffer)
+	buffer := c.loop.readBuffer
+	if c.readLimit > 0 {
+		buffer = buffer[:min(c.readLimit, len(buffer))]
+	}
+	n, err := unix.Read(c.fd, buffer)
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
 		return false
@@ -92,7 +97,7 @@
 		c.peerHalfClosed()
 		return false
 	}
-	c.handler.Received(c.loop.now, c.loop.readBuffer[:n])
+	c.handler.Received(c.loop.now, buffer[:n])
 	return true
 }
 
@@ -108,9 +113,9 @@
 	if !c.writeOutput() {
 		return
 	}
-	hadOutput := c.output != nil
-	c.loop.buffers.put(c.output)
-	c.output, c.written = nil, 0
+	hadOutput := c.hadOutput
+	c.hadOutput = false
+	c.releaseOutput()
 	if c.writeBlocked {
 		c.writeBlocked = false
 		c.updateInterest()
@@ -141,12 +146,12 @@
 	if c.loop.isSimulated() {
 		return c.writeSimulated()
 	}
-	for c.written < len(c.output) {
-		n, err := unix.Write(c.fd, c.output[c.written:])
-		if err == unix.EINTR {
+	for c.QueuedBytes() > 0 {
+		n, err := c.writeOnce()
+		if errors.Is(err, unix.EINTR) {
 			continue
 		}
-		if err == unix.EAGAIN {
+		if errors.Is(err, unix.EAGAIN) {
 			c.writeBlocked = true
 			c.updateInterest()
 			c.compactOutput()
@@ -156,11 +161,30 @@
 			c.terminate(os.NewSyscallError("write", err))
 			return false
 		}
-		c.written += n
+		c.advanceOutput(n)
 	}
 	return true
 }
 
+// writeOnce passes queued output to the system, both parts of it in one call.
+func (c *Conn) writeOnce() (int, error) {
+	rest := c.output[c.written:]
+	switch {
+	case len(c.shared) == 0:
+		return unix.Write(c.fd, rest)
+	case len(rest) == 0:
+		return unix.Write(c.fd, c.shared)
+	}
+	return unix.Writev(c.fd, [][]byte{rest, c.shared})
+}
+
+// advanceOutput records that n bytes of the queued output have been written.
+func (c *Conn) advanceOutput(n int) {
+	own := min(n, len(c.output)-c.written)
+	c.written += own
+	c.shared = c.shared[n-own:]
+}
+
 // compactOutput moves unwritten output to the front of the buffer if more than half of the buffer has been written.
 func (c *Conn) compactOutput() {
 	if c.written > len(c.output)/2 {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -51,6 +51,7 @@
 	closedConns  []*Conn // closed connections whose handlers have not been notified
 	readBuffer   []byte
 	buffers      bufferPool
+	outputBytes  int // capacity of the buffers that hold queued output
 	skipNextWait bool
 
 	connCount             int
@@ -136,6 +137,9 @@
 // ConnCount returns the number of connections that are open or connecting.
 func (l *Loop) ConnCount() int { return l.connCount }
 
+// OutputBytes returns the memory that holds queued output or is kept for it, without that of WriteShared.
+func (l *Loop) OutputBytes() int64 { return int64(l.outputBytes + l.buffers.freeBytes) }
+
 // AcceptPauseCount returns how often accepting was paused for lack of descriptors or kernel memory.
 func (l *Loop) AcceptPauseCount() uint64 { return l.acceptPauseCount }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -55,6 +55,7 @@
 // empty slice or a zero means that the client does not set the field.
 type Request struct {
 	Raw             []byte // the message, which is forwarded to servers unchanged
+	RawHandedOver   bool   // if the request is accepted, Raw belongs to the dispatcher; nobody may change it any more
 	ClientRequestID []byte // the client's ID of the request, forwarded to servers
 	Path            []byte // the path of the request, forwarded to servers
 	Header          []byte // header fields forwarded to servers, as lines
--- a/internal/frontend/platform/conn.go
+++ b/internal/frontend/platform/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"docksail/internal/decide/clientconn"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/h1"
 	"docksail/policy"
@@ -20,6 +21,9 @@
 	lifecycle lifecycle
 	incoming  incomingRequest
 	response  response
+
+	stateMemory memory.Account // of the connection itself
+	inputMemory memory.Account // of incoming
 }
 
 // incomingRequest is the input of a connection and the state of the request that is being read.
@@ -39,6 +43,7 @@
 	head           requestHead
 	healthPath     string // path of a health check, which is not submitted to the dispatcher; "" = no health check
 	body           []byte
+	holderIndex    int // in Server.holders
 }
 
 // response is the state of the response that is being written.
@@ -61,6 +66,7 @@
 		c.discard(len(p))
 		return
 	}
+	defer c.chargeInput()
 	if c.incoming.overflow != nil {
 		c.incoming.overflow.receive(p)
 		c.decode(nil)
@@ -104,6 +110,8 @@
 	}
 	c.server.loop.CancelTimer(&c.lifecycle.timer)
 	c.releaseBody()
+	c.stateMemory.Set(0)
+	c.inputMemory.Set(0)
 	c.server.connCount--
 	if id := c.response.requestID; id != 0 {
 		c.clearRequest()
--- a/internal/frontend/platform/harness_test.go
+++ b/internal/frontend/platform/harness_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -64,7 +65,7 @@
 		t.Fatal(err)
 	}
 	s := &testServer{t: t, loop: loop, dispatcher: &fakeDispatcher{}}
-	limits := Limits{Connections: maxConns, PartialRequestBytes: 1 << 20}
+	limits := Limits{Connections: maxConns, Memory: memory.New(64 << 20)}
 	s.server = New(loop, s.dispatcher, limits, func() bool { return true })
 	if s.addr, err = s.server.Listen(netip.MustParseAddrPort("127.0.0.1:0"), false); err != nil {
 		t.Fatal(err)
--- a/internal/frontend/platform/limits_test.go
+++ b/internal/frontend/platform/limits_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"docksail/internal/decide/memory"
 	"docksail/internal/frontend"
 	"docksail/policy"
 )
@@ -37,7 +38,7 @@
 			return got + fmt.Sprint(disconnects)
 		}},
 		{"too many partial bytes", 10, func(g *goldenServer) string {
-			g.runOnLoop(func() { g.server.limits.PartialRequestBytes = 100 })
+			g.runOnLoop(func() { g.server.limits.Memory = memory.New(100) })
 			return exchange(g.t, g.dial(), completionRequest("served", validBody+strings.Repeat(" ", 100)))
 		}},
 		{"request incomplete", 10, func(g *goldenServer) string {
--- a/internal/frontend/platform/receive.go
+++ b/internal/frontend/platform/receive.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"docksail/internal/decide/clientconn"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/internal/h1"
@@ -17,11 +18,6 @@
 	pathLive        = "/health/live"
 )
 
-const (
-	maxPooledBodyBytes = 64 << 10 // larger buffers for bodies are freed
-	maxPooledBodies    = 16
-)
-
 // decode decodes the buffered input followed by p, and then the overflow, until a request is in flight or the turn of
 // the connection is over. In the latter case reading pauses until its next turn.
 func (c *conn) decode(p []byte) {
@@ -51,7 +47,9 @@
 }
 
 // outputIsBlocked reports whether so much output waits for the client that no further request is decoded.
-func (c *conn) outputIsBlocked() bool { return c.transport.QueuedBytes() > backpressureBytes }
+func (c *conn) outputIsBlocked() bool {
+	return c.transport.QueuedBytes() > c.server.limits.Memory.PauseThreshold()
+}
 
 // scheduleDecode gives the connection a turn to decode pipelined input in the next iteration of the loop, so that
 // clients that pipeline delay no others.
@@ -139,33 +137,6 @@
 	return c.incoming.buffer.Len()
 }
 
-// appendBody appends data to the body of the request that is being read. It answers with an error status if the bodies
-// of incomplete requests exceed Limits.PartialRequestBytes.
-func (c *conn) appendBody(data []byte) {
-	s := c.server
-	s.partialBytes += int64(len(data))
-	if s.partialBytes > s.limits.PartialRequestBytes {
-		s.partialBytes -= int64(len(data))
-		c.rejectInvalid(http.StatusServiceUnavailable, "too many bytes of incomplete requests")
-		return
-	}
-	if last := len(s.bodyPool) - 1; c.incoming.body == nil && last >= 0 {
-		c.incoming.body, s.bodyPool = s.bodyPool[last], s.bodyPool[:last]
-	}
-	c.incoming.body = append(c.incoming.body, data...)
-}
-
-// releaseBody drops the body of the request that is being read. It returns the buffer to the pool, so that idle
-// connections hold none.
-func (c *conn) releaseBody() {
-	s, body := c.server, c.incoming.body
-	s.partialBytes -= int64(len(body))
-	if cap(body) > 0 && cap(body) <= maxPooledBodyBytes && len(s.bodyPool) < maxPooledBodies {
-		s.bodyPool = append(s.bodyPool, body[:0])
-	}
-	c.incoming.body = nil
-}
-
 // handleHead checks the head of a request and answers Expect: 100-continue.
 func (c *conn) handleHead() {
 	head := &c.incoming.decoder.Head
@@ -260,7 +231,12 @@
 
 // submit submits Server.request to the dispatcher.
 func (c *conn) submit() {
-	id, err := c.server.dispatcher.Submit(c.now, c, &c.server.request)
+	request := &c.server.request
+	request.RawHandedOver = memory.IsLarge(len(request.Raw))
+	id, err := c.server.dispatcher.Submit(c.now, c, request)
+	if err == nil && request.RawHandedOver {
+		c.incoming.body = nil
+	}
 	c.releaseBody()
 	var rejection frontend.RejectionError
 	switch {
--- a/internal/frontend/platform/respond.go
+++ b/internal/frontend/platform/respond.go
@@ -82,6 +82,7 @@
 		c.clearRequest()
 	}
 	c.releaseBody()
+	c.releaseHead()
 	c.response.headSent = false
 	c.enterNextState()
 	if c.lifecycle.state != clientconn.StateLingering && !c.incoming.decoding {
@@ -103,7 +104,7 @@
 	b = append(b, "\r\n"...)
 	c.server.scratch = b
 	c.transport.Write(b)
-	return c.transport.QueuedBytes() > backpressureBytes
+	return c.outputIsBlocked()
 }
 
 // writeStreamHead writes the head of a streamed response.
--- a/internal/frontend/platform/server.go
+++ b/internal/frontend/platform/server.go
@@ -8,6 +8,7 @@
 	"net/netip"
 
 	"docksail/internal/decide/clientconn"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/internal/h1"
@@ -18,25 +19,25 @@
 	maxHeadBytes   = 16 << 10
 	maxBodyBytes   = 256 << 10
 	maxOutputBytes = 1 << 20 // queued output of one connection above which it is closed
-	// backpressureBytes is the queued output of one connection above which the server is held back.
-	backpressureBytes = 128 << 10
 )
 
 // Limits bounds the resources that clients may use.
 type Limits struct {
-	Connections         int
-	PartialRequestBytes int64 // bodies of incomplete requests of all connections together
+	Connections int
+	Memory      *memory.Budget // for the bytes that connections hold; nil = not limited
 }
 
 // Counts counts events since the start.
 type Counts struct {
 	Requests            uint64 // complete requests with a valid head and body, without DuplicateIDs
-	InvalidRequests     uint64 // requests with an error of the client, and those beyond Limits.PartialRequestBytes
+	InvalidRequests     uint64 // requests with an error of the client, and incomplete ones beyond Limits.Memory
 	DuplicateIDs        uint64 // requests with the ID of one in flight
 	ConnectionLimitHits uint64 // new connections beyond Limits.Connections
 	ConnectionsRefused  uint64 // those of them for which no other connection was closed
 	OutputOverflows     uint64 // connections closed because the client did not read its output
-	PipelineOverflows   uint64 // times that a client pipelined more than is kept
+	// IncompleteRequestsRefused counts the incomplete requests that were refused to make room for others.
+	IncompleteRequestsRefused uint64
+	PipelineOverflows         uint64 // times that a client pipelined more than is kept
 	// PipelinedRequestsRefused counts the requests that were refused because of that. They are no InvalidRequests.
 	PipelinedRequestsRefused uint64
 	StreamsTruncated         uint64 // responses that ended without their last chunk
@@ -55,17 +56,18 @@
 	phase      phase
 	phaseTimer eventloop.Timer
 
-	connCount    int
-	lastSequence uint64                  // conn.sequence of the connection accepted last
-	incomplete   indexedheap.Heap[*conn] // connections without a complete request yet, by stateSince
-	idle         indexedheap.Heap[*conn] // connections between requests, by stateSince
-	requestIDs   map[string]struct{}     // clients' IDs of the requests in flight
-	request      frontend.Request        // the request that is being submitted
-	requestLog   *slog.Logger            // nil = single requests are not logged
-	partialBytes int64                   // total size of the bodies of incomplete requests
-	bodyPool     [][]byte                // unused buffers for bodies
-	scratch      []byte                  // buffer for the response that is being written
-	scheduled    []*conn                 // connections that decode pipelined input in the next iteration
+	connCount      int
+	lastSequence   uint64                  // conn.sequence of the connection accepted last
+	incomplete     indexedheap.Heap[*conn] // connections without a complete request yet, by stateSince
+	idle           indexedheap.Heap[*conn] // connections between requests, by stateSince
+	requestIDs     map[string]struct{}     // clients' IDs of the requests in flight
+	request        frontend.Request        // the request that is being submitted
+	requestLog     *slog.Logger            // nil = single requests are not logged
+	holders        indexedheap.Heap[*conn] // connections that hold the body of an incomplete request, by stateSince
+	bodyPool       [][]byte                // unused buffers for bodies
+	bodyPoolMemory memory.Account
+	scratch        []byte  // buffer for the response that is being written
+	scheduled      []*conn // connections that decode pipelined input in the next iteration
 	// nextScheduled is the memory of scheduled while its connections take their turns.
 	nextScheduled []*conn
 	turnTimer     eventloop.Timer
@@ -82,6 +84,9 @@
 		incomplete: newConnHeap(),
 		idle:       newConnHeap(),
 		requestIDs: make(map[string]struct{}),
+		holders:    newHolderHeap(),
+
+		bodyPoolMemory: limits.Memory.NewAccount(memory.PartialRequests),
 	}
 }
 
@@ -145,7 +150,12 @@
 	}
 	s.connCount++
 	s.lastSequence++
-	c := &conn{server: s, transport: transport, sequence: s.lastSequence}
+	c := &conn{
+		server: s, transport: transport, sequence: s.lastSequence,
+		stateMemory: s.limits.Memory.NewAccount(memory.Connections),
+		inputMemory: s.limits.Memory.NewAccount(memory.PartialRequests),
+	}
+	c.stateMemory.Set(memory.ConnectionBytes)
 	c.incoming.decoder = newRequestDecoder()
 	c.lifecycle.onTimer = c.stateTimedOut
 	transport.SetOutputLimit(maxOutputBytes)
--- a/internal/h1/input.go
+++ b/internal/h1/input.go
@@ -1,7 +1,11 @@
 package h1
 
-// maxIdleBufferBytes is the largest capacity that an empty InputBuffer keeps.
-const maxIdleBufferBytes = 1 << 10
+const (
+	// maxIdleBufferBytes is the largest capacity that an empty InputBuffer keeps.
+	maxIdleBufferBytes = 1 << 10
+	// shrinkDivisor divides the capacity of an InputBuffer into the size of its content below which it shrinks.
+	shrinkDivisor = 4
+)
 
 // InputBuffer keeps the bytes that a decoder has not consumed until more arrive. The zero value is ready for use.
 type InputBuffer struct{ pending []byte }
@@ -39,12 +43,21 @@
 	case consumed == len(p):
 		b.clear()
 	case len(b.pending) > 0:
-		b.pending = b.pending[:copy(b.pending, b.pending[consumed:])]
+		b.keep(b.pending[consumed:])
 	default:
 		b.pending = append(b.pending, p[consumed:]...)
 	}
 }
 
+// keep keeps rest, which is the end of the buffer. It frees most of a large buffer that rest does not need.
+func (b *InputBuffer) keep(rest []byte) {
+	if cap(b.pending) > maxIdleBufferBytes && len(rest) < cap(b.pending)/shrinkDivisor {
+		b.pending = append(make([]byte, 0, len(rest)), rest...)
+		return
+	}
+	b.pending = b.pending[:copy(b.pending, rest)]
+}
+
 // clear empties the buffer and frees its memory if it exceeds maxIdleBufferBytes.
 func (b *InputBuffer) clear() {
 	if cap(b.pending) > maxIdleBufferBytes {
--- a/internal/lab/soak/pressure.go
+++ b/internal/lab/soak/pressure.go
@@ -194,7 +194,9 @@
 func (p *Pressure) exchange(in *bufio.Reader, end time.Time, write func() error) {
 	for time.Now().Before(end) {
 		if err := write(); err != nil {
-			p.countAnswer(in)
+			if time.Now().Before(end) { // the answer came before the end of the request
+				p.countAnswer(in)
+			}
 			return
 		}
 		sentAt := time.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"docksail/internal/decide/clientconn"
 	"docksail/internal/decide/discovery"
 	"docksail/internal/decide/intake"
+	"docksail/internal/decide/memory"
 	"docksail/internal/dispatch"
 	"docksail/internal/eventloop"
 	frontend "docksail/internal/frontend/platform"
@@ -22,12 +23,10 @@
 )
 
 const (
-	// heapFraction is the fraction of the memory limit that the heap may use. The rest is for code, stacks and kernel
-	// memory of the process.
-	heapFraction = 0.6
 	// requestFraction is the fraction of the heap that requests in flight may use.
 	requestFraction = 0.5
-	// maxRequestBytes is the most memory that a request in flight takes.
+	// maxRequestBytes is the memory of a request in flight by which their number is limited. Package memory limits
+	// their bytes.
 	maxRequestBytes = 64 << 10
 	// minRequests is the least limit of requests in flight.
 	minRequests = 16
@@ -45,6 +44,7 @@
 	addr       netip.AddrPort
 	frontend   *frontend.Server
 	backend    *backend.Backend
+	memory     *memoryMonitor
 	log        *slog.Logger
 	done       chan struct{}
 	err        error // set before done is closed
@@ -53,7 +53,7 @@
 // LimitResources limits the cores and the heap that the process uses to the limits of the configuration.
 func LimitResources(config *Config) {
 	runtime.GOMAXPROCS(max(1, int(config.Limits.Cores+0.5)))
-	debug.SetMemoryLimit(int64(heapFraction * float64(config.Limits.MemoryMB<<20)))
+	debug.SetMemoryLimit(memory.HeapLimit(config.Limits.MemoryMB << 20))
 }
 
 // New returns a dispatcher on a loop. It listens for clients and watches the endpoint list as soon as the loop runs.
@@ -64,14 +64,13 @@
 		return nil, err
 	}
 	clients, servers := clientconn.DescriptorShares(config.Limits.Descriptors)
-	memory := config.Limits.MemoryMB << 20
-	maxRequests := max(int(heapFraction*float64(memory)*requestFraction/maxRequestBytes), minRequests)
 	n := &Node{loop: loop, log: log, policy: platformConfig.Policy, done: make(chan struct{})}
-	n.dispatcher = newDispatcher(loop, log, platformConfig, maxRequests, incarnation)
-	limits := frontend.Limits{Connections: clients, PartialRequestBytes: clientconn.MaxPartialRequestBytes(memory)}
+	n.memory = newMemoryMonitor(loop, config.Limits.MemoryMB<<20)
+	n.dispatcher = newDispatcher(loop, log, platformConfig, config, n.memory.budget, incarnation)
+	limits := frontend.Limits{Connections: clients, Memory: n.memory.budget}
 	n.frontend = frontend.New(loop, n.dispatcher, limits, n.dispatcher.HasEndpointList)
 	n.frontend.LogRequests(log)
-	n.backend = backend.New(loop, n.dispatcher, log, platformConfig, servers, config.Discovery)
+	n.backend = backend.New(loop, n.dispatcher, log, platformConfig, n.memory.budget, servers, config.Discovery)
 	n.dispatcher.Attach(n.frontend, n.backend)
 	n.backend.SetInitialList(loop.Now(), config.InitialList)
 	if n.addr, err = n.dispatcher.Start(config.Listen, false); err != nil {
@@ -83,14 +82,18 @@
 
 // newDispatcher returns a dispatcher without its frontend and backend.
 func newDispatcher(
-	loop *eventloop.Loop, log *slog.Logger, config *platformconfig.Config, maxRequests int, incarnation uint64,
+	loop *eventloop.Loop, log *slog.Logger, config *platformconfig.Config, nodeConfig *Config, budget *memory.Budget,
+	incarnation uint64,
 ) *dispatch.Dispatcher {
+	heap := float64(memory.HeapLimit(nodeConfig.Limits.MemoryMB << 20))
+	maxRequests := max(int(heap*requestFraction/maxRequestBytes), minRequests)
 	return dispatch.NewDirect(loop, log, &dispatch.Config{
 		Module:        config.Policy,
 		ClassNames:    config.ClassNames,
 		Classes:       config.Classes,
 		TenantNames:   config.Tenants,
 		Intake:        intake.Limits{MaxRequests: maxRequests, MaxPromptTokens: maxPromptTokens},
+		Memory:        budget,
 		MaxRetryAfter: int64(config.MaxRetryAfter),
 		MaxSilence:    maxSilence,
 		Incarnation:   incarnation,
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,9 +1,8 @@
 package node
 
 import (
-	"runtime/metrics"
-
 	backend "docksail/internal/backend/platform"
+	"docksail/internal/decide/memory"
 	"docksail/internal/dispatch"
 	frontend "docksail/internal/frontend/platform"
 	"docksail/policy"
@@ -18,6 +17,7 @@
 	Dispatch       dispatch.Counts
 	Frontend       frontend.Counts
 	Backend        backend.Counts
+	Memory         memory.Status
 	HeapMB         float64
 	ServerStatuses []ServerStatus `json:"-"`
 }
@@ -53,14 +53,13 @@
 	}
 	select {
 	case status := <-result:
-		status.HeapMB = float64(heapBytes()) / (1 << 20)
 		return status, true
 	case <-n.done:
 		return Status{}, false
 	}
 }
 
-// status returns the state without the heap. It must be called by the loop's goroutine.
+// status returns the state. It must be called by the loop's goroutine.
 func (n *Node) status() Status {
 	return Status{
 		Requests:       n.dispatcher.InFlight(),
@@ -70,6 +69,8 @@
 		Dispatch:       n.dispatcher.Counts,
 		Frontend:       n.frontend.Counts,
 		Backend:        n.backend.Counts,
+		Memory:         n.memory.budget.Status(),
+		HeapMB:         float64(n.memory.heapBytes()) / (1 << 20),
 		ServerStatuses: n.serverStatuses(),
 	}
 }
@@ -85,11 +86,3 @@
 	})
 	return statuses
 }
-
-// heapBytes returns the memory that objects occupy on the heap. Unlike runtime.ReadMemStats, it does not stop the
-// program.
-func heapBytes() uint64 {
-	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
-	metrics.Read(sample)
-	return sample[0].Value.Uint64()
-}
