frontend: a lingering connection whose client has its answer gives way to a new one

Cause: a connection that was answered with a close lingers for up to 3 s (longer if its client reads slowly) and counts against the limit of connections, but no eviction looked at it; idle and incomplete connections, and then the new ones, were closed instead.

Evidence: TestLingeringConnectionsGiveWay, before: 3 of 3 new clients closed without an answer; after: 3 of 3 answered.

Why it works: a lingering connection is the first to be evicted once the client's system has acknowledged all output (SIOCOUTQ), so that a reset by its unread input takes no answer. LingeringConnectionsClosed counts them.

--- a/internal/decide/clientconn/clientconn_test.go
+++ b/internal/decide/clientconn/clientconn_test.go
@@ -5,19 +5,20 @@
 func TestChooseEviction(t *testing.T) {
 	const now = int64(100e9)
 	for name, c := range map[string]struct {
-		incompleteSince, idleSince int64
-		want                       Eviction
+		incompleteSince, idleSince, lingeringSince int64
+		want                                       Eviction
 	}{
-		"no other connection":          {0, 0, RejectNewConn},
-		"no request for long":          {now - 300e6, now - 10e9, EvictOldestIncomplete},
-		"just connected, long idle":    {now - 1e6, now - 3e9, EvictOldestIdle},
-		"just connected, briefly idle": {now - 1e6, now - 1e6, EvictOldestIdle},
-		"just connected, none idle":    {now - 1e6, 0, EvictOldestIncomplete},
-		"only idle ones":               {0, now - 1e6, EvictOldestIdle},
-		"at minIncompleteTime":         {now - minIncompleteTime, now - 10e9, EvictOldestIncomplete},
-		"before minIncompleteTime":     {now - minIncompleteTime + 1, now, EvictOldestIdle},
+		"no other connection":          {0, 0, 0, RejectNewConn},
+		"no request for long":          {now - 300e6, now - 10e9, 0, EvictOldestIncomplete},
+		"just connected, long idle":    {now - 1e6, now - 3e9, 0, EvictOldestIdle},
+		"just connected, briefly idle": {now - 1e6, now - 1e6, 0, EvictOldestIdle},
+		"just connected, none idle":    {now - 1e6, 0, 0, EvictOldestIncomplete},
+		"only idle ones":               {0, now - 1e6, 0, EvictOldestIdle},
+		"at minIncompleteTime":         {now - minIncompleteTime, now - 10e9, 0, EvictOldestIncomplete},
+		"before minIncompleteTime":     {now - minIncompleteTime + 1, now, 0, EvictOldestIdle},
+		"one lingers":                  {now - 10e9, now - 10e9, now - 1e6, EvictOldestLingering},
 	} {
-		if got := ChooseEviction(now, c.incompleteSince, c.idleSince); got != c.want {
+		if got := ChooseEviction(now, c.incompleteSince, c.idleSince, c.lingeringSince); got != c.want {
 			t.Errorf("%s: got %d, want %d", name, got, c.want)
 		}
 	}
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -171,6 +171,18 @@
 	return err == unix.EAGAIN
 }
 
+// PeerHasOutput reports whether the peer's system has received all output.
+func (c *Conn) PeerHasOutput() bool {
+	if !c.IsOpen() || c.QueuedBytes() > 0 {
+		return false
+	}
+	if c.loop.isSimulated() {
+		return c.sim.inFlightBytes == 0
+	}
+	unacknowledged, err := unix.IoctlGetInt(c.fd, unix.SIOCOUTQ)
+	return err == nil && unacknowledged == 0
+}
+
 // NotifyHalfCloseWhilePaused makes the loop call PeerHalfClosed even while reading is paused. The input that precedes
 // the half-close is then not read: it is of no use once the client has left. Simulated connections are reset instead.
 func (c *Conn) NotifyHalfCloseWhilePaused() { c.notifyHalfCloseWhilePaused = true }
--- a/internal/frontend/platform/evict.go
+++ b/internal/frontend/platform/evict.go
@@ -26,6 +26,8 @@
 		return &s.incomplete
 	case clientconn.StateIdle:
 		return &s.idle
+	case clientconn.StateLingering:
+		return &s.lingering
 	default:
 		return nil
 	}
@@ -35,12 +37,18 @@
 func (s *Server) evict() bool {
 	s.Counts.ConnectionLimitHits++
 	incomplete, idle := oldestClosable(&s.incomplete), oldestClosable(&s.idle)
+	lingering := oldestClosable(&s.lingering)
 	var c *conn
-	switch clientconn.ChooseEviction(s.loop.Now(), stateSinceOrZero(incomplete), stateSinceOrZero(idle)) {
+	switch clientconn.ChooseEviction(
+		s.loop.Now(), stateSinceOrZero(incomplete), stateSinceOrZero(idle), stateSinceOrZero(lingering),
+	) {
 	case clientconn.EvictOldestIncomplete:
 		c = incomplete
 	case clientconn.EvictOldestIdle:
 		c = idle
+	case clientconn.EvictOldestLingering:
+		c = lingering
+		s.Counts.LingeringConnectionsClosed++
 	default:
 		return false
 	}
@@ -49,15 +57,24 @@
 	return true
 }
 
-// oldestClosable returns the connection of a heap that has been longest in its state, or nil. It skips connections
-// with unread input or unsent output, as closing would reset them, and examines at most
-// clientconn.MaxEvictionCandidates.
+// isClosable reports whether closing the connection costs its client no answer: there is no unread input, as closing
+// would reset the connection, and no unsent output. The input of a lingering connection does not matter once its client
+// has received the answer.
+func (c *conn) isClosable() bool {
+	if c.lifecycle.state == clientconn.StateLingering {
+		return c.transport.PeerHasOutput()
+	}
+	return c.transport.InputEmpty() && c.transport.QueuedBytes() == 0 && !c.incoming.scheduled
+}
+
+// oldestClosable returns the connection of a heap that has been longest in its state, or nil. It skips connections that
+// must not be closed, and examines at most clientconn.MaxEvictionCandidates.
 func oldestClosable(heap *indexedheap.Heap[*conn]) (found *conn) {
 	var skipped [clientconn.MaxEvictionCandidates]*conn
 	n := 0
 	for ; n < clientconn.MaxEvictionCandidates && heap.Len() > 0 && found == nil; n++ {
 		c := heap.Min()
-		if c.transport.InputEmpty() && c.transport.QueuedBytes() == 0 && !c.incoming.scheduled {
+		if c.isClosable() {
 			found = c
 			break
 		}
--- a/internal/frontend/platform/server.go
+++ b/internal/frontend/platform/server.go
@@ -29,12 +29,13 @@
 
 // Counts counts events since the start.
 type Counts struct {
-	Requests            uint64 // complete requests with a valid head and body, without DuplicateIDs
-	InvalidRequests     uint64 // requests with an error of the client, and incomplete ones beyond Limits.Memory
-	DuplicateIDs        uint64 // requests with the ID of one in flight
-	ConnectionLimitHits uint64 // new connections beyond Limits.Connections
-	ConnectionsRefused  uint64 // those of them for which no other connection was closed
-	OutputOverflows     uint64 // connections closed because the client did not read its output
+	Requests                   uint64 // complete requests with a valid head and body, without DuplicateIDs
+	InvalidRequests            uint64 // requests with an error of the client, and incomplete ones beyond Limits.Memory
+	DuplicateIDs               uint64 // requests with the ID of one in flight
+	ConnectionLimitHits        uint64 // new connections beyond Limits.Connections
+	ConnectionsRefused         uint64 // new connections beyond the limit for which no other was closed
+	LingeringConnectionsClosed uint64 // lingering connections that were closed for a new one
+	OutputOverflows            uint64 // connections closed because the client did not read its output
 	// IncompleteRequestsRefused counts the incomplete requests that were refused to make room for others.
 	IncompleteRequestsRefused uint64
 	PipelineOverflows         uint64 // times that a client pipelined more than is kept
@@ -60,6 +61,7 @@
 	lastSequence   uint64                  // conn.sequence of the connection accepted last
 	incomplete     indexedheap.Heap[*conn] // connections without a complete request yet, by stateSince
 	idle           indexedheap.Heap[*conn] // connections between requests, by stateSince
+	lingering      indexedheap.Heap[*conn] // connections whose last response was written, by stateSince
 	requestIDs     map[string]struct{}     // clients' IDs of the requests in flight
 	request        frontend.Request        // the request that is being submitted
 	requestLog     *slog.Logger            // nil = single requests are not logged
@@ -83,6 +85,7 @@
 		isReady:    isReady,
 		incomplete: newConnHeap(),
 		idle:       newConnHeap(),
+		lingering:  newConnHeap(),
 		requestIDs: make(map[string]struct{}),
 		holders:    newHolderHeap(),
 
--- a/internal/frontend/platform/server_test.go
+++ b/internal/frontend/platform/server_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"docksail/internal/decide/clientconn"
 	"docksail/internal/eventloop"
@@ -121,3 +122,23 @@
 		t.Errorf("got %d ms left of 5 s after waiting for 50 ms, want at most 4950 ms", left/1e6)
 	}
 }
+
+// TestLingeringConnectionsGiveWay guards against clients that are reset without an answer because connections linger
+// whose clients have their last answer already, with input that nobody needs still arriving.
+func TestLingeringConnectionsGiveWay(t *testing.T) {
+	const maxConns = 3
+	s := startServer(t, maxConns)
+	for range maxConns {
+		c := s.dial()
+		send(t, c, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n")
+		if got := receive(t, c, 200*time.Millisecond); !strings.Contains(got, " 400 ") {
+			t.Fatalf("got %q, want status 400", got)
+		}
+		send(t, c, strings.Repeat(" ", 100))
+	}
+	for range maxConns {
+		if got := exchange(t, s.dial(), getRequest("/health/live")); !strings.Contains(got, " 200 ") {
+			t.Errorf("a new client got %q, want status 200", got)
+		}
+	}
+}
