streamwatch: a server that still writes an event byte by byte is not silent

Cause: the silence of a server was counted from its last complete event. Bytes of the next event did not count, so an event that takes longer than 4.5 s to be written ended the stream.

Why it works: beyond the silence limit a stream goes on as long as bytes come at least every quarter of the limit, up to four times the limit for one event. A server that hangs inside an event is cut off as before if its last byte came in the first three quarters.

--- a/internal/backend/platform/conn.go
+++ b/internal/backend/platform/conn.go
@@ -126,6 +126,9 @@
 		c.advance(inflight.Acknowledged)
 	}
 	c.exchange.response.started = true
+	if req := c.exchange.request; req != nil && req.IsStreaming() {
+		c.backend.dispatcher.StreamBytesReceived(now, req)
+	}
 	c.input.Process(p, func(p []byte) int { return c.decodeResponse(now, p) })
 	c.chargeInput(now)
 }
--- a/internal/decide/streamwatch/streamwatch.go
+++ b/internal/decide/streamwatch/streamwatch.go
@@ -39,12 +39,18 @@
 	// clientStallFactor is how many times longer a client may read nothing than a server may send nothing. The client's
 	// deadline applies meanwhile.
 	clientStallFactor = 4
+	// maxTokenFactor is how many times longer a token may take whose bytes come one by one than a server may send nothing.
+	maxTokenFactor = 4
+	// byteSilenceDivisor divides the silence between two tokens into that between bytes of one token beyond it: a server
+	// that hangs inside a token is still noticed before its client gives up.
+	byteSilenceDivisor = 4
 )
 
 // Stream describes a streaming answer.
 type Stream struct {
 	FirstTokenAt     int64 // when the first token was received
 	LastTokenAt      int64 // when the latest token was received
+	LastByteAt       int64 // when the latest byte was received, even if its token is incomplete; 0 if unknown
 	InterTokenTarget int64 // target time between tokens
 	FirstTokenTarget int64 // target time to the first token
 	CallDeadline     int64 // the client's deadline; 0 if it has none
@@ -63,7 +69,12 @@
 	if s.ClientBlocked {
 		limit, verdict = clientStallFactor*limit, ClientNotReading
 	}
-	checkAgainAt = max(s.FirstTokenAt, s.LastTokenAt) + limit
+	lastTokenAt := max(s.FirstTokenAt, s.LastTokenAt)
+	checkAgainAt = lastTokenAt + limit
+	if !s.ClientBlocked && s.LastByteAt > lastTokenAt {
+		bytesEnd := s.LastByteAt + limit/byteSilenceDivisor
+		checkAgainAt = max(checkAgainAt, min(bytesEnd, lastTokenAt+maxTokenFactor*limit))
+	}
 	if now >= checkAgainAt {
 		return verdict, 0
 	}
--- a/internal/decide/streamwatch/streamwatch_test.go
+++ b/internal/decide/streamwatch/streamwatch_test.go
@@ -19,6 +19,10 @@
 	oneToken.LastTokenAt = 0
 
 	const limit = maxSilenceGaps * 50 * ms
+	const byteLimit = limit / byteSilenceDivisor
+	byBytes, hanging, endless := stream, stream, stream
+	byBytes.LastByteAt, hanging.LastByteAt = 2000*ms+limit-ms, 2000*ms+byteLimit
+	endless.LastByteAt = 2000*ms + maxTokenFactor*limit - 1
 	for _, c := range []struct {
 		name       string
 		now        int64
@@ -35,6 +39,10 @@
 			Continue, 2000*ms + clientStallFactor*limit,
 		},
 		{"client blocked, at its limit", 2000*ms + clientStallFactor*limit, blocked, ClientNotReading, 0},
+		{"bytes of the next token", 2000*ms + limit, byBytes, Continue, 2000*ms + limit - ms + byteLimit},
+		{"bytes of the next token, then silence", 2000*ms + limit - ms + byteLimit, byBytes, ServerSilent, 0},
+		{"silence inside the next token", 2000*ms + limit, hanging, ServerSilent, 0},
+		{"one token for too long", 2000*ms + maxTokenFactor*limit, endless, ServerSilent, 0},
 		{"deadline near", 2500 * ms, withDeadline, DeadlineReached, 0},
 		{"checked again before the deadline", 2100 * ms, withDeadline, Continue, 2490 * ms},
 		{"first token only", 1100 * ms, oneToken, Continue, 1000*ms + limit},
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -61,7 +61,8 @@
 	callDeadline    eventloop.Nanos // end of the call that the client set; 0 = none
 	firstTokenAt    eventloop.Nanos // 0 = the answer has not begun
 	lastTokenAt     eventloop.Nanos
-	uncreditedBytes int // bytes of the answer that wait for the client; the server gets credit once they are sent
+	lastByteAt      eventloop.Nanos // of the answer, even of a piece that is not complete
+	uncreditedBytes int             // bytes of the answer that wait for the client; the server gets credit once they are sent
 	relayedMessages int64
 }
 
--- a/internal/dispatch/streaming.go
+++ b/internal/dispatch/streaming.go
@@ -29,6 +29,10 @@
 	return true
 }
 
+// StreamBytesReceived is called by the backend when bytes of a streaming answer have come, whether or not they complete
+// a piece for RelayTokens.
+func (d *Dispatcher) StreamBytesReceived(now eventloop.Nanos, req *Request) { req.lastByteAt = now }
+
 // streamStarted records the first token of an answer and reports it to the admission control and the module.
 func (d *Dispatcher) streamStarted(now eventloop.Nanos, req *Request) {
 	attempt, _ := req.OutstandingAttempt()
@@ -47,7 +51,7 @@
 func (d *Dispatcher) checkStream(now eventloop.Nanos, req *Request) {
 	settings := &d.classSettings[req.class]
 	verdict, nextCheck := streamwatch.Check(now, streamwatch.Stream{
-		FirstTokenAt: req.firstTokenAt, LastTokenAt: req.lastTokenAt,
+		FirstTokenAt: req.firstTokenAt, LastTokenAt: req.lastTokenAt, LastByteAt: req.lastByteAt,
 		InterTokenTarget: settings.interTokenTarget, FirstTokenTarget: settings.latencyTarget,
 		CallDeadline: req.callDeadline, AnswerLeadTime: d.answerLeadTime, MaxSilence: d.maxSilence,
 		ClientBlocked: req.uncreditedBytes > 0,
