lab soak: pressure by groups of clients, with the memory limit judged

Half of the runs have them, overlapping with kills, signals in series and crowds; the dispatchers then have the limits that the platform sets together (80 MB and 512 descriptors, 96 and 768, 192 and 1,024).

Clients of pressure that send one request after another have their answers checked like the others: a request that was read and not answered, or answered after its time, is a violation. The requests of a flood are known to the oracle by the beginning of their ids.

--- a/cmd/docksail/lab_soak_test.go
+++ b/cmd/docksail/lab_soak_test.go
@@ -27,7 +27,7 @@
 		t.Run(fmt.Sprint(n+1), func(t *testing.T) {
 			s := soak.Soak{
 				Seed: uint64(n + 1), Duration: 6 * time.Second, MaxProcesses: 14, Program: program,
-				LogDirectory: t.TempDir(),
+				LogDirectory: t.TempDir(), MemoryNotJudged: raceEnabled,
 			}
 			verdict, err := s.Run()
 			if err != nil {
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -13,6 +13,8 @@
 	Kind     FaultKind
 	Target   string // name of a server or dispatcher, or "discovery"
 	Signals  []timedSignal
+	Pressure PressureKind // of dispatcherUnderPressure
+	Clients  int          // of dispatcherUnderPressure
 }
 
 // String returns the fault as a line of the schedule.
@@ -21,6 +23,9 @@
 	if len(f.Signals) > 0 {
 		text += fmt.Sprintf(", signals %v", f.Signals)
 	}
+	if f.Kind == dispatcherUnderPressure {
+		text += fmt.Sprintf(", %d clients: %s", f.Clients, f.Pressure)
+	}
 	return text
 }
 
@@ -53,6 +58,8 @@
 	discoverySilent
 	discoverySilentInCrowd // idle clients fill the dispatchers' descriptors meanwhile, and send at once afterwards
 
+	dispatcherUnderPressure // a group of clients burdens it, see PressureKind
+
 	faultKindCount
 
 	firstDispatcherFault = dispatcherSuspended
@@ -80,6 +87,7 @@
 	dispatcherSignaledAtStart: "restarted with signals during the start",
 	discoverySilent:           "silent",
 	discoverySilentInCrowd:    "silent in a crowd",
+	dispatcherUnderPressure:   "under pressure",
 }
 
 // String returns the name of the kind in words.
@@ -142,6 +150,10 @@
 		return d.terminate(fault.Signals, fault.Duration)
 	case dispatcherSignaledAtStart:
 		return d.signalInStart(fault.Signals, fault.Duration)
+	case dispatcherUnderPressure:
+		pressure := Pressure{Kind: fault.Pressure, Clients: fault.Clients, Dispatcher: d}
+		pressure.Run(fault.Duration)
+		d.fleet.notePressure(&pressure)
 	default: // a fault of a server or of discovery
 	}
 	return nil
--- a/internal/lab/soak/fleet.go
+++ b/internal/lab/soak/fleet.go
@@ -31,14 +31,17 @@
 	settings          string
 	reports           net.Listener // accepts the connections on which model servers report
 	discovery         net.Listener
+	memoryViolations  []string // written by the goroutine that runs the soak
 
 	mu              sync.Mutex // guards the fields below and the servers' entries in the endpoint list
 	listVersion     int
 	watches         map[chan struct{}]bool
 	discoverySilent bool
 	crowdCount      int
-	sentAfterTerm   int // requests that were sent to a dispatcher after its SIGTERM
-	sentLast        int // those of them that were sent in the last lastMoment before the planned SIGKILL
+	pressureCount   int
+	pressureAnswers map[int]int // answers to clients of pressure, by status; 0 = none
+	sentAfterTerm   int         // requests that were sent to a dispatcher after its SIGTERM
+	sentLast        int         // those of them that were sent in the last lastMoment before the planned SIGKILL
 }
 
 // NewFleet returns a fleet that stores its files in directory. settings is the settings object of its dispatchers.
--- a/internal/lab/soak/oracle.go
+++ b/internal/lab/soak/oracle.go
@@ -43,6 +43,7 @@
 	unanswered map[string]string         // reasons of missing answers that are excused if the request was never read
 	started    map[ConnID]startedAttempt // last attempt on each connection
 	violations []violation
+	groups     map[string]*requestGroup // by the first groupIDBytes of the IDs of their requests
 
 	// ReleasesRemoveAwaitedStates makes a release remove a state even while a decode attempt waits for it. The platform
 	// does not specify whether servers do so.
@@ -64,11 +65,27 @@
 	closed    Instant // the dispatcher closed the connection; 0 = not yet
 }
 
+// requestGroup is a group of requests whose clients do not report each of them.
+type requestGroup struct {
+	dispatcher string
+	killed     bool // the dispatcher's process that the group was sent to was killed
+}
+
+// groupIDBytes is the length of the beginning that the IDs of all requests of a group share.
+const groupIDBytes = 6
+
+// RegisterGroup records that all requests whose IDs begin with prefix are sent to one process of a dispatcher.
+func (o *Oracle) RegisterGroup(prefix, dispatcher string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.groups[prefix] = &requestGroup{dispatcher: dispatcher}
+}
+
 // NewOracle returns an oracle without any requests.
 func NewOracle(limits Limits) *Oracle {
 	return &Oracle{
 		limits: limits, epoch: Now(), requests: map[string]*requestRecord{}, started: map[ConnID]startedAttempt{},
-		unanswered: map[string]string{},
+		unanswered: map[string]string{}, groups: map[string]*requestGroup{},
 	}
 }
 
@@ -159,6 +176,9 @@
 			r.addTrace(o.epoch, at, "%s killed", dispatcher)
 		}
 	}
+	for _, group := range o.groups {
+		group.killed = group.killed || group.dispatcher == dispatcher
+	}
 	o.violations = slices.DeleteFunc(o.violations, func(v violation) bool {
 		r := o.requests[v.requestID]
 		return v.at >= at && r.dispatcher == dispatcher && r.exempt
@@ -338,6 +358,9 @@
 	r := o.requests[id]
 	if r == nil {
 		r = newRequestRecord()
+		if group := o.groups[id[:min(len(id), groupIDBytes)]]; group != nil {
+			r.dispatcher, r.exempt = group.dispatcher, group.killed
+		}
 		o.requests[id] = r
 	}
 	return r
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -21,6 +21,9 @@
 	defaultReleaseTime    = time.Second
 )
 
+// pressureLimits are the limits of dispatchers that may come under pressure, as the platform sets them together.
+var pressureLimits = [...]struct{ memoryMB, descriptors int }{{80, 512}, {96, 768}, {192, 1024}}
+
 // Plan is what a seed determines before a run: the fleet, its settings and the schedule of faults.
 type Plan struct {
 	Prefill     int // servers
@@ -31,6 +34,8 @@
 	clients                     int
 	longestDeadline             time.Duration // of any request of the run
 	hasCrowds                   bool
+	hasPressure                 bool
+	memoryMB                    int // of a dispatcher
 	releaseTime                 time.Duration
 	cancelEnabled               bool
 	maxDescriptors              int // of a dispatcher
@@ -72,6 +77,11 @@
 	if p.hasCrowds = rng.IntN(3) == 0; p.hasCrowds {
 		p.maxDescriptors = reducedMaxDescriptors
 	}
+	p.memoryMB = defaultMemoryMB
+	if p.hasPressure = rng.IntN(2) == 0; p.hasPressure && !p.hasCrowds {
+		limits := pressureLimits[rng.IntN(len(pressureLimits))]
+		p.memoryMB, p.maxDescriptors = limits.memoryMB, limits.descriptors
+	}
 	p.Prefill = max((processes-p.Dispatchers)/2, minServersPerRole)
 	p.Decode = max(processes-p.Dispatchers-p.Prefill, minServersPerRole)
 	p.clients = clientsPerDispatcher * p.Dispatchers
@@ -85,9 +95,10 @@
 func (p *Plan) description() string {
 	return fmt.Sprintf(
 		"%d prefill, %d decode, %d dispatchers, %d sockets, release %v, cancel %v, releases remove awaited states %v, "+
-			"deadlines to %v, crowds %v",
+			"deadlines to %v, crowds %v, pressure %v, %d MB",
 		p.Prefill, p.Decode, p.Dispatchers, p.maxDescriptors, p.releaseTime, p.cancelEnabled,
-		p.releasesRemoveAwaitedStates, p.longestDeadline.Round(time.Millisecond), p.hasCrowds)
+		p.releasesRemoveAwaitedStates, p.longestDeadline.Round(time.Millisecond), p.hasCrowds,
+		p.hasPressure, p.memoryMB)
 }
 
 // settingsFormat formats the settings object of the dispatchers. Its arguments are the release time in nanoseconds,
@@ -165,6 +176,20 @@
 // releasesPerRejection is the mean number of releases of which a server rejects one.
 const releasesPerRejection = 50
 
+// planPressureAttempt returns what a server does with an attempt of a pressure: half of the large requests are not
+// answered, and the answers to slow readers are long.
+func planPressureAttempt(id string, isPrefill bool) AttemptPlan {
+	switch {
+	case isPrefill && IsPressureID(id, LargeRequests) && hash(id)%2 == 0:
+		return AttemptPlan{Work: time.Hour}
+	case isPrefill && IsPressureID(id, Deserters):
+		return AttemptPlan{Work: 300 * time.Millisecond}
+	case !isPrefill && IsPressureID(id, SlowReaders):
+		return AttemptPlan{Tokens: 100, TokenBytes: 60 << 10, TokenInterval: time.Millisecond}
+	}
+	return AttemptPlan{Work: time.Millisecond, TokenInterval: time.Millisecond}
+}
+
 // planReleaseStatus returns the status with which a server rejects a release; 0 means that it accepts it.
 func planReleaseStatus(id, server string) int {
 	if hash(id+server+"release")%releasesPerRejection == 0 {
--- a/internal/lab/soak/pressure.go
+++ b/internal/lab/soak/pressure.go
@@ -88,11 +88,13 @@
 	statuses      map[int]int // answers by status; 0 = closed without a complete answer
 	longestAnswer time.Duration
 	lastID        int
+	number        int // distinguishes the pressures of a fleet
+	incarnation   int // of the dispatcher, at the last ID
 }
 
 // Run runs the clients for a duration.
 func (p *Pressure) Run(duration time.Duration) {
-	p.statuses = map[int]int{}
+	p.statuses, p.number = map[int]int{}, p.Dispatcher.fleet.nextPressure()
 	end := time.Now().Add(duration)
 	var clients sync.WaitGroup
 	for n := range p.Clients {
@@ -136,7 +138,12 @@
 	defer p.mu.Unlock()
 	p.lastID++
 	incarnation := p.Dispatcher.Incarnation()
-	return fmt.Sprintf("%s%x%04x%010x", pressureIDPrefix, int(p.Kind), incarnation&0xffff, p.lastID)
+	group := fmt.Sprintf("%s%x%03x%x", pressureIDPrefix, int(p.Kind), p.number&0xfff, incarnation&0xf)
+	if incarnation != p.incarnation {
+		p.incarnation = incarnation
+		p.Dispatcher.fleet.Oracle.RegisterGroup(group, p.Dispatcher.Name)
+	}
+	return fmt.Sprintf("%s%010x", group, p.lastID)
 }
 
 // runClient runs one client until end. It connects again whenever its connection has ended.
@@ -160,26 +167,28 @@
 	in := bufio.NewReaderSize(conn, slowReadBytes)
 	switch p.Kind {
 	case LargeRequests:
-		p.exchange(in, end, func() error { return p.writeBody(conn, largeBodyBytes, 1) })
+		p.exchange(in, end, func(id string) error { return p.writeBody(conn, id, largeBodyBytes, 1) })
 	case ManyFields:
-		p.exchange(in, end, func() error {
-			_, err := io.WriteString(conn, p.head(manyFields(), len(requestBody))+requestBody)
+		p.exchange(in, end, func(id string) error {
+			_, err := io.WriteString(conn, head(id, manyFields(), len(requestBody))+requestBody)
 			return err
 		})
 	case SlowWriters:
-		p.exchange(in, end, func() error { return p.writeBody(conn, largeBodyBytes, slowWriteParts) })
+		p.exchange(in, end, func(id string) error {
+			return p.writeBody(conn, id, largeBodyBytes, slowWriteParts)
+		})
 	case HalfRequests:
 		body := largeBody(halfBodyBytes)
-		_, _ = io.WriteString(conn, p.head("", len(body))+body[:len(body)/2])
+		_, _ = io.WriteString(conn, head(p.nextID(), "", len(body))+body[:len(body)/2])
 		p.countAnswer(in)
 		_, _ = io.Copy(io.Discard, in)
 	case HalfHeads:
-		_, _ = io.WriteString(conn, strings.TrimSuffix(p.head(manyFields(), 0), "\r\n"))
+		_, _ = io.WriteString(conn, strings.TrimSuffix(head(p.nextID(), manyFields(), 0), "\r\n"))
 		p.countAnswer(in)
 		_, _ = io.Copy(io.Discard, in)
 	case SlowReaders:
 		_ = conn.SetReadBuffer(slowReadBytes)
-		_, _ = io.WriteString(conn, p.head("", len(requestBody))+requestBody)
+		_, _ = io.WriteString(conn, head(p.nextID(), "", len(requestBody))+requestBody)
 		p.readSlowly(conn)
 	case Flood, InvalidFlood:
 		go p.countAnswers(in)
@@ -191,20 +200,31 @@
 }
 
 // exchange sends requests one after another and reads their answers until the connection ends.
-func (p *Pressure) exchange(in *bufio.Reader, end time.Time, write func() error) {
+func (p *Pressure) exchange(in *bufio.Reader, end time.Time, write func(id string) error) {
+	oracle := p.Dispatcher.fleet.Oracle
 	for time.Now().Before(end) {
-		if err := write(); err != nil {
+		id := p.nextID()
+		oracle.RequestSent(Now(), id, p.Dispatcher.Name)
+		if err := write(id); err != nil {
 			if time.Now().Before(end) { // the answer came before the end of the request
 				p.countAnswer(in)
 			}
 			return
 		}
 		sentAt := time.Now()
+		oracle.RequestComplete(Now(), id)
 		status, ended := readAnswer(in)
 		if time.Now().After(end) { // the client has stopped waiting
+			oracle.ClientCanceled(Now(), id)
 			return
 		}
 		p.noteAnswer(status, sentAt)
+		if status == 0 {
+			oracle.AnswerMissingUnlessUnread(id, "closed without an answer")
+		}
+		if late := time.Since(sentAt) - pressureRemaining; late > answerTolerance && status != http.StatusOK {
+			oracle.AnswerMissing(id, fmt.Sprintf("answered %v after its time", late))
+		}
 		if ended {
 			return
 		}
@@ -212,8 +232,7 @@
 }
 
 // head returns the head of a request with additional fields.
-func (p *Pressure) head(fields string, bodyBytes int) string {
-	id := p.nextID()
+func head(id, fields string, bodyBytes int) string {
 	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: api.internal\r\n"+
 		"X-Txn: %s\r\nX-Lane: %s\r\nX-Entity: %s\r\nX-Remaining: %.3f\r\nX-Labels: prefix=%s\r\n%s"+
 		"Content-Length: %d\r\n\r\n",
@@ -231,9 +250,9 @@
 }
 
 // writeBody writes a request with a body of the given size, in parts with a pause after each but the last.
-func (p *Pressure) writeBody(conn net.Conn, size, parts int) error {
+func (p *Pressure) writeBody(conn net.Conn, id string, size, parts int) error {
 	body := largeBody(size)
-	text := p.head("", len(body)) + body
+	text := head(id, "", len(body)) + body
 	for part := range parts {
 		if _, err := io.WriteString(conn, text[len(text)*part/parts:len(text)*(part+1)/parts]); err != nil {
 			return err
@@ -295,7 +314,7 @@
 				batch.WriteString("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Txn: " + p.nextID() + "\r\n\r\n")
 				continue
 			}
-			batch.WriteString(p.head("", len(requestBody)) + requestBody)
+			batch.WriteString(head(p.nextID(), "", len(requestBody)) + requestBody)
 		}
 		if _, err := io.WriteString(conn, batch.String()); err != nil {
 			return
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -75,30 +75,59 @@
 			fault.Signals = drawSignals(rng, startSignalSpread, rng.IntN(2) == 0)
 		default: // the duration stays as drawn
 		}
+		if fault.Kind == dispatcherUnderPressure {
+			fault.Pressure = PressureKind(rng.IntN(int(PressureKindCount)))
+			fault.Clients = drawClients(rng, fault.Pressure, plan.maxDescriptors)
+		}
 		targets := until.withoutFault(plan.faultTargets(until, fault.Kind, at), at)
 		if len(targets) == 0 {
 			continue
 		}
 		fault.Target = targets[rng.IntN(len(targets))]
-		until[fault.Target] = fault.Start + fault.Duration + faultRecovery
+		if fault.Kind != dispatcherUnderPressure { // other faults of the target may come meanwhile
+			until[fault.Target] = fault.Start + fault.Duration + faultRecovery
+		}
 		faults = append(faults, fault)
 	}
 	return faults
 }
 
-// signalsShare is the share of faults that are drawn from the kinds with signals only.
-const signalsShare = 0.2
+// drawClients draws the number of clients of a pressure. They are so many that they use most of the descriptors, but
+// for those that need few.
+func drawClients(rng *rand.Rand, kind PressureKind, maxDescriptors int) int {
+	switch kind {
+	case Flood, InvalidFlood:
+		return 1 + rng.IntN(maxFloodClients)
+	case SlowReaders:
+		return maxDescriptors/8 + rng.IntN(maxDescriptors/8)
+	default:
+		return maxDescriptors/4 + rng.IntN(maxDescriptors/4)
+	}
+}
 
-// drawKind draws a kind of fault. Only some runs have crowds.
+const (
+	// signalsShare is the share of faults that are drawn from the kinds with signals only.
+	signalsShare = 0.2
+	// pressureShare is the share of faults that are pressure, in runs that have any.
+	pressureShare = 0.15
+	// maxFloodClients is the most clients of a flood.
+	maxFloodClients = 4
+)
+
+// drawKind draws a kind of fault. Only some runs have crowds or pressure.
 func drawKind(rng *rand.Rand, plan *Plan) FaultKind {
+	if plan.hasPressure && rng.Float64() < pressureShare {
+		return dispatcherUnderPressure
+	}
 	if rng.Float64() < signalsShare {
 		return dispatcherTerminated + FaultKind(rng.IntN(int(discoverySilent-dispatcherTerminated)))
 	}
 	for {
 		kind := FaultKind(rng.IntN(int(faultKindCount)))
-		if kind != discoverySilentInCrowd || plan.hasCrowds {
-			return kind
+		if kind == dispatcherUnderPressure || kind == discoverySilentInCrowd && !plan.hasCrowds {
+			continue
 		}
+		return kind
 	}
 }
 
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -28,6 +28,8 @@
 	// DispatcherProgram makes the dispatchers' commands; nil means Program.
 	DispatcherProgram CommandFunc
 	LogDirectory      string // holds the logs of the dispatchers
+	// MemoryNotJudged lets the dispatchers pass their memory limit, as programs with the race detector do.
+	MemoryNotJudged bool
 }
 
 // Run runs the soak. The error reports a failure of the run itself; violations of invariants are in the verdict.
@@ -47,9 +49,16 @@
 	if err := fleet.startAll(&plan); err != nil {
 		return verdict, err
 	}
-	if err := s.runTraffic(fleet, &plan, &verdict); err != nil {
+	stopWatching := fleet.watchMemory()
+	err = s.runTraffic(fleet, &plan, &verdict)
+	verdict.MemoryMB, verdict.PeakMB = plan.memoryMB, float64(stopWatching())/(1<<20)
+	if err != nil {
 		return verdict, err
 	}
+	if !s.MemoryNotJudged && verdict.PeakMB > float64(plan.memoryMB) {
+		fleet.memoryViolations = append(fleet.memoryViolations,
+			fmt.Sprintf("memory: %.1f MB of %d MB", verdict.PeakMB, plan.memoryMB))
+	}
 	return verdict, fleet.completeVerdict(&verdict)
 }
 
@@ -59,12 +68,15 @@
 	if err != nil {
 		return nil, err
 	}
-	fleet.MaxDescriptors = plan.maxDescriptors
+	fleet.MaxDescriptors, fleet.MemoryMB = plan.maxDescriptors, plan.memoryMB
 	fleet.Oracle.ReleasesRemoveAwaitedStates = plan.releasesRemoveAwaitedStates
 	if s.DispatcherProgram != nil {
 		fleet.dispatcherProgram = s.DispatcherProgram
 	}
 	fleet.AttemptPlan = func(id string, isPrefill bool, server string) AttemptPlan {
+		if strings.HasPrefix(id, pressureIDPrefix) {
+			return planPressureAttempt(id, isPrefill)
+		}
 		return planAttempt(s.Seed, id, isPrefill, server)
 	}
 	fleet.ReleaseStatus = planReleaseStatus
@@ -118,7 +130,7 @@
 	client.habit, client.longestDeadline = habit(n%int(habitCount)), plan.longestDeadline
 	defer client.Close()
 	for k := 0; time.Now().Before(end); k++ {
-		onDone(client.sendRandomRequest(rng, fmt.Sprintf("%04x%04x%08x", s.Seed&0xffff, n, k)))
+		onDone(client.sendRandomRequest(rng, fmt.Sprintf("%04x%04x%08x", s.Seed&0x7fff, n, k)))
 		client.pause(rng)
 	}
 }
@@ -149,7 +161,8 @@
 	if err := f.checkReadRequests(verdict); err != nil {
 		return err
 	}
-	verdict.Violations = f.Oracle.Check(Now())
+	verdict.Violations = append(f.Oracle.Check(Now()), f.memoryViolations...)
+	verdict.PressureAnswers = f.pressureAnswers
 	for _, d := range f.Dispatchers {
 		d.Signal(syscall.SIGTERM)
 	}
--- a/internal/lab/soak/verdict.go
+++ b/internal/lab/soak/verdict.go
@@ -14,13 +14,16 @@
 	Schedule         []Fault
 	Requests         int
 	Served           int
-	Canceled         int // requests that their client canceled
-	AfterTerm        int // requests that were sent to a dispatcher after its SIGTERM
-	LastSent         int // those of them that were sent in the last lastMoment before the planned SIGKILL
-	Read             int // requests that the dispatchers have read, by their logs
-	Excused          int // missing answers to requests that were not read
-	StatesHeld       int // prefills that left a state
-	Releases         int // releases that reached a server
+	Canceled         int         // requests that their client canceled
+	AfterTerm        int         // requests that were sent to a dispatcher after its SIGTERM
+	LastSent         int         // those of them that were sent in the last lastMoment before the planned SIGKILL
+	Read             int         // requests that the dispatchers have read, by their logs
+	Excused          int         // missing answers to requests that were not read
+	StatesHeld       int         // prefills that left a state
+	Releases         int         // releases that reached a server
+	PeakMB           float64     // the most memory of a dispatcher
+	MemoryMB         int         // limit of PeakMB
+	PressureAnswers  map[int]int // answers to clients of pressure, by status; 0 = none
 	Violations       []string
 }
 
@@ -46,9 +49,11 @@
 // String returns the verdict as one line.
 func (v *Verdict) String() string {
 	return fmt.Sprintf("seed %d: %d processes, %s, %d faults, %d requests, %d served, %d canceled, "+
-		"%d after SIGTERM, %d just before SIGKILL, %d read, %d excused as unread, %d states, %d releases, %d violations",
+		"%d after SIGTERM, %d just before SIGKILL, %d read, %d excused as unread, %d states, %d releases, "+
+		"peak %.1f of %d MB, answers under pressure %v, %d violations",
 		v.Seed, v.Processes, v.FleetDescription, len(v.Schedule), v.Requests, v.Served, v.Canceled,
-		v.AfterTerm, v.LastSent, v.Read, v.Excused, v.StatesHeld, v.Releases, len(v.Violations))
+		v.AfterTerm, v.LastSent, v.Read, v.Excused, v.StatesHeld, v.Releases,
+		v.PeakMB, v.MemoryMB, v.PressureAnswers, len(v.Violations))
 }
 
 // Details returns the verdict's line and, if there are violations, the schedule of faults and each violation.
