serve: the bytes of requests in flight and waiting have the limit of memory_bytes

Cause: docksail serve limits the number of waiting requests and sheds them when the heap, sampled every 100 ms, passes memory_bytes. Messages of up to 4 MB that arrive between two samples had no limit, and the record of a request kept its largest message for good.

Evidence: TestRequestsShareOneBudget fails without the budget (nothing is rejected until MaxRequests).

Why it works: with memory_bytes set, requests charge the same memory.Budget as in docksail node; what does not fit is rejected as retryable, "too many bytes in hand".

--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -4,6 +4,8 @@
 // The package does no I/O and reads no clock.
 package memory
 
+import "math"
+
 // Use is what bytes are held for.
 type Use uint8
 
@@ -97,6 +99,9 @@
 	}
 }
 
+// NewForHeap returns the budget of a process whose heap alone is limited, in bytes. Peers may fill all of it.
+func NewForHeap(limit int64) *Budget { return &Budget{limit: limit, measuredLimit: math.MaxInt64} }
+
 // Admits reports whether n more bytes may be held for a use, and counts the refusal if not.
 func (b *Budget) Admits(use Use, n int64) bool {
 	if b == nil || b.fits(use, n) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -62,7 +62,7 @@
 	firstTokenAt    eventloop.Nanos // 0 = the answer has not begun
 	lastTokenAt     eventloop.Nanos
 	lastByteAt      eventloop.Nanos // of the answer, even of a piece that is not complete
-	uncreditedBytes int             // bytes of the answer that wait for the client; the server gets credit once they are sent
+	uncreditedBytes int             // bytes that wait for the client; the server gets credit once they are sent
 	relayedMessages int64
 }
 
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"errors"
 	"log/slog"
 	"testing"
 
 	"docksail/internal/decide/intake"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 	"docksail/policy"
@@ -39,3 +41,48 @@
 		}
 	}
 }
+
+// TestRequestsShareOneBudget guards against requests in flight whose bytes nothing limits: those that do not fit are
+// rejected, and their room is free again when an earlier one has ended.
+func TestRequestsShareOneBudget(t *testing.T) {
+	loop, err := eventloop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Close()
+	const (
+		limit        = 1 << 20 // bytes
+		messageBytes = 100 << 10
+	)
+	budget := memory.NewForHeap(limit)
+	dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
+		Module: &scriptedModule{}, ClassNames: []string{"a"}, Classes: []policy.Class{{LatencyTarget: 1e9, Timeout: 5e9}},
+		Intake: intake.Limits{MaxRequests: 100, MaxPromptTokens: 1000, EndpointListKnown: true}, Memory: budget, Incarnation: 1,
+	})
+	submit := func(bytes int) (policy.RequestID, error) {
+		request := frontend.Request{Class: []byte("a"), Raw: make([]byte, bytes), PromptTokens: 10}
+		return dispatcher.Submit(loop.Now(), &answerCounts{}, &request)
+	}
+	var accepted []policy.RequestID
+	for {
+		id, err := submit(messageBytes)
+		var rejection frontend.RejectionError
+		if errors.As(err, &rejection) {
+			break
+		}
+		if err != nil || len(accepted)*messageBytes > limit {
+			t.Fatalf("request %d of %d bytes: %v, want it rejected", len(accepted), messageBytes, err)
+		}
+		accepted = append(accepted, id)
+	}
+	if _, err := submit(1); err != nil {
+		t.Errorf("a small request: %v, want it accepted", err)
+	}
+	dispatcher.ClientDisconnected(loop.Now(), accepted[0])
+	if _, err := submit(messageBytes); err != nil {
+		t.Errorf("after the end of a request: %v, want another accepted", err)
+	}
+	if held := budget.Status().HeldBytes; held > limit {
+		t.Errorf("%d bytes held, limit %d", held, limit)
+	}
+}
--- a/internal/grpcnode/build.go
+++ b/internal/grpcnode/build.go
@@ -10,6 +10,7 @@
 	backend "docksail/internal/backend/grpc"
 	"docksail/internal/config"
 	"docksail/internal/decide/intake"
+	"docksail/internal/decide/memory"
 	"docksail/internal/dispatch"
 	"docksail/internal/eventloop"
 	frontend "docksail/internal/frontend/grpc"
@@ -82,6 +83,9 @@
 		MaxRetryAfter: int64(settings.Responses.MaxRetryAfter), AnswerLeadTime: int64(settings.Responses.AnswerLeadTime),
 		KeyHashSeed: settings.HashKey, Incarnation: incarnation,
 	}
+	if limit := settings.Limits.MaxMemoryBytes; limit > 0 {
+		dispatchConfig.Memory = memory.NewForHeap(int64(limit))
+	}
 	for _, class := range settings.Classes {
 		dispatchConfig.ClassNames = append(dispatchConfig.ClassNames, class.Name)
 	}
