lab soak: two faults of one dispatcher do not meet when the first is late

Cause: a restart that took longer than planned on the busy machine met the SIGTERM of the next fault before the new process could catch signals. A dispatcher's faults now wait for each other; pressure may overlap with them.

--- a/internal/lab/soak/dispatcher.go
+++ b/internal/lab/soak/dispatcher.go
@@ -24,6 +24,7 @@
 	Addr string
 
 	fleet      *Fleet
+	faults     sync.Mutex // held during a fault, except pressure: a late one must not meet the next
 	configFile string
 	logFile    *os.File
 
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -134,6 +134,10 @@
 
 // inject injects a fault of a dispatcher and returns when it has ended.
 func (d *Dispatcher) inject(fault Fault) error {
+	if fault.Kind != dispatcherUnderPressure {
+		d.faults.Lock()
+		defer d.faults.Unlock()
+	}
 	switch fault.Kind {
 	case dispatcherSuspended:
 		d.Signal(syscall.SIGSTOP)
