eventloop: busy connections delay no timer, decision or output by more than 5 ms

Cause: one iteration handled up to 512 events before timers, decisions and output, whatever they cost: checking a body of 255 KB takes milliseconds.

Why it works: after 5 ms of events an iteration goes on with the rest of its work; the events that are left come first in the next one, without another wait.

--- a/internal/decide/clientconn/eviction.go
+++ b/internal/decide/clientconn/eviction.go
@@ -26,8 +26,8 @@
 // none. Connections with unwritten output must not be counted, nor those with unread input unless they linger.
 //
 // A lingering connection, whose client has its last answer, is evicted first. An idle connection is evicted before one
-// without a complete request: its client can open another one for its next request, whereas a client whose first request
-// is not read sees a failure. If the latter has been incomplete for minIncompleteTime, it is evicted first.
+// without a complete request: its client can open another one for its next request, whereas a client whose first
+// request is not read sees a failure. If the latter has been incomplete for minIncompleteTime, it is evicted first.
 func ChooseEviction(now, incompleteSince, idleSince, lingeringSince int64) Eviction {
 	hasIncomplete, hasIdle := incompleteSince > 0, idleSince > 0
 	switch {
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -57,7 +57,8 @@
 	budget := memory.NewForHeap(limit)
 	dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
 		Module: &scriptedModule{}, ClassNames: []string{"a"}, Classes: []policy.Class{{LatencyTarget: 1e9, Timeout: 5e9}},
-		Intake: intake.Limits{MaxRequests: 100, MaxPromptTokens: 1000, EndpointListKnown: true}, Memory: budget, Incarnation: 1,
+		Intake: intake.Limits{MaxRequests: 100, MaxPromptTokens: 1000, EndpointListKnown: true},
+		Memory: budget, Incarnation: 1,
 	})
 	submit := func(bytes int) (policy.RequestID, error) {
 		request := frontend.Request{Class: []byte("a"), Raw: make([]byte, bytes), PromptTokens: 10}
@@ -66,8 +67,7 @@
 	var accepted []policy.RequestID
 	for {
 		id, err := submit(messageBytes)
-		var rejection frontend.RejectionError
-		if errors.As(err, &rejection) {
+		if _, rejected := errors.AsType[frontend.RejectionError](err); rejected {
 			break
 		}
 		if err != nil || len(accepted)*messageBytes > limit {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -25,6 +25,10 @@
 	// epoll_wait, the other goroutines stay stopped until the wait returns (Go 1.26).
 	maxWait = 100 * time.Millisecond
 
+	// maxEventTime is the time in nanoseconds after which an iteration handles no further events, so that timers,
+	// decisions and output get their turn while many connections are busy.
+	maxEventTime = 5e6
+
 	// maxFlushPasses bounds how often one iteration flushes output that handlers queued during the previous flush.
 	maxFlushPasses = 4
 )
@@ -158,15 +162,17 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	events := make([]unix.EpollEvent, maxEventsPerWait)
+	var unhandled []unix.EpollEvent // events of the last wait
 	for !l.stopped.Load() {
-		n, err := unix.EpollWait(l.epollFD, events, l.waitMillis())
-		if err != nil && err != unix.EINTR {
-			return os.NewSyscallError("epoll_wait", err)
+		if len(unhandled) == 0 {
+			n, err := unix.EpollWait(l.epollFD, events, l.waitMillis())
+			if err != nil && err != unix.EINTR {
+				return os.NewSyscallError("epoll_wait", err)
+			}
+			unhandled = events[:max(n, 0)]
 		}
 		l.now = l.ReadClock()
-		for _, event := range events[:max(n, 0)] {
-			l.dispatch(event)
-		}
+		unhandled = l.handleEvents(unhandled)
 		l.timers.fireDue(l.now)
 		l.notifyClosed()
 		if onIteration != nil {
@@ -178,6 +184,17 @@
 	return nil
 }
 
+// handleEvents handles events for at most about maxEventTime. It returns those that are left for the next iteration.
+func (l *Loop) handleEvents(events []unix.EpollEvent) (unhandled []unix.EpollEvent) {
+	for i, event := range events {
+		l.dispatch(event)
+		if l.ReadClock()-l.now >= maxEventTime {
+			return events[i+1:]
+		}
+	}
+	return nil
+}
+
 // waitMillis returns how long to wait for events, in whole milliseconds, rounded up.
 func (l *Loop) waitMillis() int {
 	if l.mustIterateAgain() {
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -136,3 +136,43 @@
 		t.Error("Opened was called for a connection that is not established")
 	}
 }
+
+// TestBusyConnectionsDelayNoTimer guards against an iteration that handles all events of many busy connections before
+// timers, decisions and output get their turn.
+func TestBusyConnectionsDelayNoTimer(t *testing.T) {
+	const (
+		conns    = 30
+		workTime = 10 * time.Millisecond // of one event
+		// maxHandled is how many events may be handled while the timer is due: those of one iteration of limited length.
+		maxHandled = 3
+	)
+	l, onLoop := startLoop(t)
+	handled, accepted := 0, 0
+	ln := listen(t, l, onLoop, func(c *Conn) Handler {
+		accepted++
+		return &connRecorder{conn: c, onReceived: func([]byte) { handled++; time.Sleep(workTime) }}
+	})
+	var clients []net.Conn
+	for range conns {
+		client, err := net.Dial("tcp", ln.Addr().String())
+		must(t, err)
+		defer client.Close()
+		clients = append(clients, client)
+	}
+	waitUntil(t, onLoop, "all connections are accepted", func() bool { return accepted == conns })
+	var timer Timer
+	handledAtTimer := -1
+	onLoop(func() { // while it runs, all input arrives
+		for _, client := range clients {
+			_, err := client.Write([]byte("x"))
+			must(t, err)
+		}
+		l.SetTimer(&timer, l.Now()+1, func(Nanos) { handledAtTimer = handled })
+	})
+	waitUntil(t, onLoop, "all input is handled", func() bool { return handled == conns && handledAtTimer >= 0 })
+	onLoop(func() {
+		if handledAtTimer > maxHandled {
+			t.Errorf("the timer fired after %d of %d events, want at most %d", handledAtTimer, conns, maxHandled)
+		}
+	})
+}
