policy: the number of prefixes and sessions that are remembered has a limit

Cause: the prefix index has an entry for each prefix and session of the last 30 s, and one for each prefix whose decayed count has not fallen under a sixteenth, served or not. Clients give the names, and nothing limited their number.

--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -38,6 +38,10 @@
 
 	// smallBytes is the size up to which a request counts as small.
 	smallBytes = 32 << 10
+	// prefixFraction is the fraction of the process's memory for the prefixes and sessions that the policy remembers, and
+	// prefixBytes what one of them takes.
+	prefixFraction = 1.0 / 32
+	prefixBytes    = 256
 	// pausedFraction is the fraction of the budget that answers may fill before their senders are paused at once.
 	pausedFraction = 1.0 / 4
 	// pauseBytes is the output queued for one peer above which its sender is paused.
@@ -69,6 +73,10 @@
 // HeapLimit returns the heap's limit in a process that may use the given memory, in bytes.
 func HeapLimit(memory int64) int64 { return int64(heapFraction * float64(memory)) }
 
+// MaxPrefixes returns how many prefixes and sessions may be remembered in a process that may use the given memory, in
+// bytes.
+func MaxPrefixes(memory int64) int { return int(prefixFraction * float64(memory) / prefixBytes) }
+
 // Budget counts the bytes that peers make the process hold. A nil *Budget has no limit.
 type Budget struct {
 	limit         int64
--- a/policy/prefixindex.go
+++ b/policy/prefixindex.go
@@ -11,8 +11,28 @@
 	priorWeight = 4
 	// minRequestCount is the decayed count below which the count of a prefix is removed.
 	minRequestCount = 1.0 / 16
+	// defaultMaxPrefixes is the most prefixes that are remembered, unless LimitPrefixes sets another number.
+	defaultMaxPrefixes = 1 << 17
 )
 
+// keyQueue remembers the order in which keys were added to a map, so that the oldest give way to new ones.
+type keyQueue struct {
+	keys   []uint64 // a ring, once it has reached its limit
+	oldest int      // index in keys
+	limit  int
+}
+
+// add adds a key. If there are limit keys already, it removes the oldest and returns it.
+func (q *keyQueue) add(key uint64) (removed uint64, full bool) {
+	if len(q.keys) < q.limit {
+		q.keys = append(q.keys, key)
+		return 0, false
+	}
+	removed, q.keys[q.oldest] = q.keys[q.oldest], key
+	q.oldest = (q.oldest + 1) % q.limit
+	return removed, true
+}
+
 // cacheHint says that a server is expected to have cached a number of tokens of a prefix until a time.
 type cacheHint struct {
 	until  Nanos
@@ -45,14 +65,30 @@
 	sharingPairs float64            // decayed number of pairs of requests that share a prefix ...
 	pairs        float64            // ... among all pairs
 	sweptAt      Nanos              // when expired hints were last removed
+	hintKeys     keyQueue           // of hints; clients name them, so their number is limited
+	requestKeys  keyQueue           // of requests
 }
 
 func newPrefixIndex() prefixIndex {
-	return prefixIndex{hints: make(map[uint64]prefixHints), requests: make(map[uint64]float64)}
+	return prefixIndex{
+		hints: make(map[uint64]prefixHints), requests: make(map[uint64]float64),
+		hintKeys: keyQueue{limit: defaultMaxPrefixes}, requestKeys: keyQueue{limit: defaultMaxPrefixes},
+	}
+}
+
+// LimitPrefixes limits the number of prefixes and sessions that the router remembers. When there are more, the oldest
+// are forgotten. It must be called before the first request.
+func (r *Router) LimitPrefixes(limit int) {
+	r.prefixes.hintKeys.limit, r.prefixes.requestKeys.limit = max(limit, 1), max(limit, 1)
 }
 
 // countRequest counts a request that has a prefix.
 func (p *prefixIndex) countRequest(key uint64) {
+	if _, known := p.requests[key]; !known {
+		if oldest, full := p.requestKeys.add(key); full {
+			delete(p.requests, oldest)
+		}
+	}
 	p.sharingPairs, p.pairs = p.sharingPairs+p.requests[key], p.pairs+p.total
 	p.requests[key]++
 	p.total++
@@ -78,7 +114,12 @@
 // addHint records that a server caches a prefix. If the prefix has hintsPerPrefix hints, it replaces the one that
 // expires first.
 func (p *prefixIndex) addHint(key uint64, server int32, tokens int64, until Nanos) {
-	hints := p.hints[key]
+	hints, known := p.hints[key]
+	if !known {
+		if oldest, full := p.hintKeys.add(key); full {
+			delete(p.hints, oldest)
+		}
+	}
 	slot := 0
 	for i, hint := range hints {
 		if hint.until > 0 && hint.server == server {
