frontend: incomplete heads and pipelined input are refused beyond the budget

An incomplete head, up to 16 KB, or requests behind the one in flight, up to 64 KB for each connection, were never refused, and the input of a connection that was refused stayed until it was closed. Release trackers, one for each request whose client left, were not counted.

Why it works: after each input the connection asks for room. An incomplete head is refused with 503, the oldest incomplete body first; pipelined requests join the overflow, which is counted and refused in order; where not even its incomplete head has room, the connection ends with 503 after the answers that are due. A connection that reads no further request frees its input at once. Release trackers charge 1 KB each.

--- a/internal/backend/platform/backend.go
+++ b/internal/backend/platform/backend.go
@@ -56,6 +56,7 @@
 	idleConns      indexedheap.Heap[*conn] // the longest idle one is first
 
 	releaseTrackers map[policy.RequestID]*releaseTracker
+	trackerMemory   memory.Account  // of releaseTrackers
 	releaseTime     eventloop.Nanos // time within which the state of an ended attempt must be released
 	maxClassTimeout eventloop.Nanos // how long a server may run an abandoned attempt at most
 
@@ -83,6 +84,7 @@
 		connectTimeout:  int64(config.ConnectTimeout),
 		maxConns:        maxConns,
 		memory:          budget,
+		trackerMemory:   budget.NewAccount(memory.Requests),
 		idleConns:       newIdleHeap(),
 		releaseTrackers: make(map[policy.RequestID]*releaseTracker),
 		releaseTime:     int64(config.ReleaseTime),
--- a/internal/backend/platform/releasetracker.go
+++ b/internal/backend/platform/releasetracker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"docksail/internal/decide/inflight"
+	"docksail/internal/decide/serverconn"
 	"docksail/internal/dispatch"
 	"docksail/internal/eventloop"
 	"docksail/policy"
@@ -52,9 +53,16 @@
 	}
 	tracker.onTimer = tracker.run
 	b.releaseTrackers[req.ID] = tracker
+	b.chargeTrackers()
 	return tracker
 }
 
+// chargeTrackers charges the release trackers to the budget. They are never refused for it: what is held must be
+// released.
+func (b *Backend) chargeTrackers() {
+	b.trackerMemory.Set(int64(len(b.releaseTrackers)) * serverconn.TrackerBytes)
+}
+
 // Release implements dispatch.Backend. Any server accepts a release, whichever one holds the state.
 func (b *Backend) Release(
 	now eventloop.Nanos, req *dispatch.Request, _ policy.ServerID, _ policy.AttemptNumber, heldSince eventloop.Nanos,
@@ -116,6 +124,7 @@
 	t.ended = true
 	b.loop.CancelTimer(&t.timer)
 	delete(b.releaseTrackers, t.requestID)
+	b.chargeTrackers()
 	t.cancelPending()
 	for _, c := range t.lingering {
 		b.Counts.Unconfirmed++
--- a/internal/decide/serverconn/serverconn.go
+++ b/internal/decide/serverconn/serverconn.go
@@ -11,6 +11,8 @@
 	MaxReadBytes = 16 << 10
 	// ConnectionBytes is what a connection takes beside its buffers.
 	ConnectionBytes = 2 << 10
+	// TrackerBytes is what the releases of one request take.
+	TrackerBytes = 1 << 10
 )
 
 const (
--- a/internal/frontend/platform/conn.go
+++ b/internal/frontend/platform/conn.go
@@ -69,6 +69,7 @@
 	defer c.chargeInput()
 	if c.incoming.overflow != nil {
 		c.incoming.overflow.receive(p)
+		c.checkOverflowMemory()
 		c.decode(nil)
 		return
 	}
@@ -76,11 +77,19 @@
 	if c.lifecycle.state != clientconn.StateReadingRequest && buffered == 0 {
 		c.incoming.firstByteAt = now
 	}
-	if c.lifecycle.state == clientconn.StateActive && buffered+len(p) > clientconn.MaxPipelinedBytes {
-		c.beginOverflow(p)
+	if c.lifecycle.state != clientconn.StateActive {
+		c.decode(p)
+		c.checkInputMemory()
 		return
 	}
-	c.decode(p)
+	switch {
+	case c.mayKeepPipelined(len(p)):
+		c.incoming.buffer.Append(p)
+	case c.hasMemoryFor(len(p)):
+		c.beginOverflow(p, clientconn.MaxPipelinedBytes)
+	default:
+		c.beginOverflow(p, buffered) // what was kept before stays
+	}
 }
 
 // PeerHalfClosed implements eventloop.Handler. A client that closes its half counts as disconnected.
--- a/internal/frontend/platform/lifecycle.go
+++ b/internal/frontend/platform/lifecycle.go
@@ -76,6 +76,7 @@
 	})
 	c.setState(next)
 	if next == clientconn.StateLingering {
+		c.dropInput()
 		c.transport.CloseWriteAfterFlush()
 		c.transport.SetReadPaused(false)
 	}
--- a/internal/frontend/platform/memory.go
+++ b/internal/frontend/platform/memory.go
@@ -68,6 +68,35 @@
 	c.chargeInput()
 }
 
+// checkInputMemory refuses what the last input has begun, if the budget has no room for it: a request whose head is
+// incomplete, or those behind the one that is in flight now.
+func (c *conn) checkInputMemory() {
+	if c.closed || c.incoming.buffer.Len() == 0 {
+		return
+	}
+	c.chargeInput()
+	switch c.lifecycle.state {
+	case clientconn.StateReadingRequest:
+		if c.incoming.decoder.AtMessageStart() && !c.server.makeRoom(c, 0) {
+			c.rejectInvalid(http.StatusServiceUnavailable, "too many bytes of incomplete requests")
+		}
+	case clientconn.StateActive:
+		if !c.mayKeepPipelined(0) {
+			c.beginOverflow(nil, 0)
+		}
+	default: // it has its turns to be decoded
+	}
+}
+
+// dropInput frees the input of a connection that reads no further request.
+func (c *conn) dropInput() {
+	if !c.incoming.decoding { // otherwise the decoding ends with all of its input
+		c.incoming.buffer.Truncate(0)
+	}
+	c.incoming.overflow = nil
+	c.chargeInput()
+}
+
 // makeRoom reports whether a connection may hold n more bytes of an incomplete request. If the budget has no room, it
 // refuses the requests of others that have been incomplete for longest.
 func (s *Server) makeRoom(c *conn, n int64) bool {
--- a/internal/frontend/platform/overflow.go
+++ b/internal/frontend/platform/overflow.go
@@ -1,9 +1,11 @@
 package platform
 
 import (
+	"errors"
 	"net/http"
 
 	"docksail/internal/decide/clientconn"
+	"docksail/internal/decide/memory"
 	"docksail/internal/h1"
 )
 
@@ -18,12 +20,12 @@
 }
 
 // newOverflow decodes pipelined input that exceeds the limit. It returns how much of it is kept: whole requests of at
-// most clientconn.MaxPipelinedBytes.
-func newOverflow(input []byte) (o *overflow, kept int) {
+// most limit bytes.
+func newOverflow(input []byte, limit int) (o *overflow, kept int) {
 	o = &overflow{decoder: newRequestDecoder()}
 	position := 0
 	o.decode(input, func(n int) {
-		if position += n; position <= clientconn.MaxPipelinedBytes {
+		if position += n; position <= limit {
 			kept, o.complete = position, 0
 		}
 	})
@@ -60,14 +62,41 @@
 	return o.complete == 0 && o.err == nil && o.decoder.AtMessageStart()
 }
 
-// beginOverflow handles input that exceeds the limit of pipelined bytes.
-func (c *conn) beginOverflow(p []byte) {
+// mayKeepPipelined reports whether n more bytes that have arrived behind the request in flight may be kept.
+func (c *conn) mayKeepPipelined(n int) bool {
+	return c.incoming.buffer.Len()+n <= clientconn.MaxPipelinedBytes && c.hasMemoryFor(n)
+}
+
+// hasMemoryFor reports whether the budget has room for n more bytes of input.
+func (c *conn) hasMemoryFor(n int) bool {
+	return c.server.limits.Memory.Admits(memory.PartialRequests, int64(n))
+}
+
+// beginOverflow handles input behind the request in flight that must not be kept. Of all input that is kept and p, whole
+// requests of at most limit bytes stay.
+func (c *conn) beginOverflow(p []byte, limit int) {
 	in := &c.incoming
 	in.buffer.Append(p)
-	overflow, kept := newOverflow(in.buffer.Bytes())
+	overflow, kept := newOverflow(in.buffer.Bytes(), limit)
 	in.overflow = overflow
 	in.buffer.Truncate(kept)
 	c.server.Counts.PipelineOverflows++
+	c.checkOverflowMemory()
+}
+
+// errOutOfMemory ends the decoding of an overflow for whose incomplete head the budget has no room.
+var errOutOfMemory = errors.New("too many bytes of incomplete requests")
+
+// checkOverflowMemory gives up decoding the overflow if the budget has no room for the incomplete head in it. The
+// connection then ends with the refusal of that request.
+func (c *conn) checkOverflowMemory() {
+	o := c.incoming.overflow
+	c.chargeInput()
+	if o.input.Len() > 0 && !c.hasMemoryFor(0) {
+		o.err = errOutOfMemory
+		o.input.Truncate(0)
+		c.chargeInput()
+	}
 }
 
 // refuseOverflow refuses requests of the overflow, once no request is in flight and none is kept. It ends the overflow
--- a/internal/frontend/platform/receive.go
+++ b/internal/frontend/platform/receive.go
@@ -121,6 +121,8 @@
 		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, h1.ErrBodyTooLarge):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, errOutOfMemory):
+		return http.StatusServiceUnavailable
 	default:
 		return http.StatusBadRequest
 	}
--- a/internal/frontend/platform/server_test.go
+++ b/internal/frontend/platform/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"docksail/internal/decide/clientconn"
+	"docksail/internal/decide/memory"
 	"docksail/internal/eventloop"
 	"docksail/internal/frontend"
 )
@@ -142,3 +144,43 @@
 		}
 	}
 }
+
+// TestInputSharesTheBudget guards against input that is counted but not limited: incomplete heads, and requests behind
+// the one in flight. What does not fit is refused, and the connections with a request in flight stay open.
+func TestInputSharesTheBudget(t *testing.T) {
+	const (
+		conns       = 100
+		memoryBytes = 4 << 20
+		inputBytes  = 15 << 10 // of each connection
+	)
+	partialHead := "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("a", inputBytes)
+	for name, text := range map[string]func(id int) string{
+		"incomplete heads": func(int) string { return partialHead },
+		"pipelined requests": func(id int) string {
+			return strings.Replace(completionRequest("held", validBody), "00000000000000aa", fmt.Sprintf("%016x", id), 1) +
+				partialHead
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startServer(t, conns)
+			budget := memory.New(memoryBytes)
+			s.runOnLoop(func() { s.server.limits.Memory = budget })
+			for id := range conns {
+				send(t, s.dial(), text(id))
+			}
+			var status memory.Status
+			s.waitUntil("all input is read", func() bool {
+				status = budget.Status()
+				return s.server.connCount == conns && status.Refused[memory.PartialRequests] > 0
+			})
+			time.Sleep(100 * time.Millisecond)
+			s.runOnLoop(func() { status = budget.Status() })
+			if status.PeakBytes > status.LimitBytes {
+				t.Errorf("%d bytes were held, limit %d", status.PeakBytes, status.LimitBytes)
+			}
+			if left := s.dispatcher.disconnects; left > 0 {
+				t.Errorf("%d connections with a request in flight were closed", left)
+			}
+		})
+	}
+}
