--- a/cmd/docksail/pressure_test.go
+++ b/cmd/docksail/pressure_test.go
@@ -322,8 +322,8 @@
 	}
 }
 
-// TestMixedPressureStaysWithinMemoryLimit guards against kinds of pressure that are each limited but not together: their
-// bytes share one budget, at the least limit of the platform as well as at the usual ones.
+// TestMixedPressureStaysWithinMemoryLimit guards against kinds of pressure that are each limited but not together:
+// their bytes share one budget, at the least limit of the platform as well as at the usual ones.
 func TestMixedPressureStaysWithinMemoryLimit(t *testing.T) {
 	for _, test := range []struct{ groupSize, memoryMB, descriptors int }{{15, 32, 256}, {40, 80, 512}, {80, 192, 1024}} {
 		t.Run(fmt.Sprintf("%d MB", test.memoryMB), func(t *testing.T) {
