lab soak: pressure that the machine can carry beside the fleet

Traced: requests reached stand-in servers a second after the dispatcher had sent them, and answers of theirs passed the proxies late. The proxies kept up to 64 MB of every answer for slow readers, and clients that were refused came again after 20 ms with 255 KB each; the process that runs them used all cores.

The checks are as they were.

--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -155,7 +155,7 @@
 	case dispatcherSignaledAtStart:
 		return d.signalInStart(fault.Signals, fault.Duration)
 	case dispatcherUnderPressure:
-		pressure := Pressure{Kind: fault.Pressure, Clients: fault.Clients, Dispatcher: d}
+		pressure := Pressure{Kind: fault.Pressure, Clients: fault.Clients, Dispatcher: d, Pause: pressurePause}
 		pressure.Run(fault.Duration)
 		d.fleet.notePressure(&pressure)
 	default: // a fault of a server or of discovery
