--- a/internal/decide/clientconn/clientconn_test.go
+++ b/internal/decide/clientconn/clientconn_test.go
@@ -86,3 +86,26 @@
 		}
 	}
 }
+
+// TestGrownBodyBytes checks that small bodies get buffers of few sizes, and large ones the memory that they need.
+func TestGrownBodyBytes(t *testing.T) {
+	const limit = 256 << 10
+	for name, test := range map[string]struct {
+		size          int
+		contentLength int64
+		want          int
+	}{
+		"small":                       {100, 300, 4 << 10},
+		"small of unknown length":     {5000, -1, 8 << 10},
+		"largest rounded":             {100, 32 << 10, 32 << 10},
+		"large, its beginning":        {1000, 200 << 10, 2000},
+		"large, a quarter":            {50 << 10, 200 << 10, 200 << 10},
+		"large of unknown length":     {100 << 10, -1, 200 << 10},
+		"up to the limit of a body":   {200 << 10, -1, limit},
+		"all of a body of that limit": {limit, limit, limit},
+	} {
+		if got := GrownBodyBytes(test.size, test.contentLength, limit); got != test.want {
+			t.Errorf("%s: got %d, want %d", name, got, test.want)
+		}
+	}
+}
--- a/internal/decide/clientconn/limits.go
+++ b/internal/decide/clientconn/limits.go
@@ -1,5 +1,7 @@
 package clientconn
 
+import "math/bits"
+
 const (
 	// MaxHeadFields is the most fields in the head of a request.
 	MaxHeadFields = 128
@@ -27,13 +29,23 @@
 	return max(descriptors-forProcess-servers, 1), servers
 }
 
-// knownBodyFraction is the fraction of a body of known length from which on all of its memory is reserved at once, so
-// that it is not copied again while it grows.
-const knownBodyFraction = 1.0 / 4
+const (
+	// knownBodyFraction is the fraction of a body of known length from which on all of its memory is reserved at once, so
+	// that it is not copied again while it grows.
+	knownBodyFraction = 1.0 / 4
+	// minBodyBytes and maxRoundedBodyBytes bound the buffers whose size is rounded up to a power of two, so that later
+	// requests can use them again.
+	minBodyBytes        = 4 << 10
+	maxRoundedBodyBytes = 32 << 10
+)
 
 // GrownBodyBytes returns the capacity of the buffer for a body that has grown to size bytes. contentLength is the
 // length that the client has stated, or negative; no body exceeds limit.
 func GrownBodyBytes(size int, contentLength, limit int64) int {
+	if size <= maxRoundedBodyBytes && contentLength <= maxRoundedBodyBytes {
+		size = max(size, int(contentLength), minBodyBytes)
+		return 1 << bits.Len(uint(size-1))
+	}
 	if contentLength > 0 && float64(size) >= knownBodyFraction*float64(contentLength) {
 		return int(contentLength)
 	}
