eventloop: a close is noticed while other connections are busy

Why it works: of the events that an iteration leaves, it handles closes and resets at once, and while events are left each iteration asks epoll for further ones.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -171,6 +171,20 @@
 	return err == unix.EAGAIN
 }
 
+// PeerHasClosed reports whether the peer has closed its sending side or reset the connection, even if that comes behind
+// input which has not been read. On a simulated connection it reports false until that input was read.
+func (c *Conn) PeerHasClosed() bool {
+	if !c.IsOpen() || !c.readOpen {
+		return true
+	}
+	if c.loop.isSimulated() {
+		return false
+	}
+	poll := []unix.PollFd{{Fd: int32(c.fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(poll, 0)
+	return err == nil && n > 0
+}
+
 // PeerHasOutput reports whether the peer's system has received all output.
 func (c *Conn) PeerHasOutput() bool {
 	if !c.IsOpen() || c.QueuedBytes() > 0 {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -161,17 +161,21 @@
 func (l *Loop) Run(onIteration func(now Nanos)) error {
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
-	events := make([]unix.EpollEvent, maxEventsPerWait)
-	var unhandled []unix.EpollEvent // events of the last wait
+	events, recent := make([]unix.EpollEvent, maxEventsPerWait), make([]unix.EpollEvent, maxEventsPerWait)
+	var unhandled []unix.EpollEvent // of events
 	for !l.stopped.Load() {
+		var closes []unix.EpollEvent // that came while earlier events were handled
+		var err error
 		if len(unhandled) == 0 {
-			n, err := unix.EpollWait(l.epollFD, events, l.waitMillis())
-			if err != nil && err != unix.EINTR {
-				return os.NewSyscallError("epoll_wait", err)
-			}
-			unhandled = events[:max(n, 0)]
+			unhandled, err = l.waitForEvents(events, l.waitMillis())
+		} else {
+			closes, err = l.waitForEvents(recent, 0)
+		}
+		if err != nil {
+			return err
 		}
 		l.now = l.ReadClock()
+		l.handleCloses(closes)
 		unhandled = l.handleEvents(unhandled)
 		l.timers.fireDue(l.now)
 		l.notifyClosed()
@@ -184,17 +188,41 @@
 	return nil
 }
 
-// handleEvents handles events for at most about maxEventTime. It returns those that are left for the next iteration.
+// waitForEvents waits for events and returns them, in a part of buffer.
+func (l *Loop) waitForEvents(buffer []unix.EpollEvent, timeoutMillis int) ([]unix.EpollEvent, error) {
+	n, err := unix.EpollWait(l.epollFD, buffer, timeoutMillis)
+	if err != nil && err != unix.EINTR {
+		return nil, os.NewSyscallError("epoll_wait", err)
+	}
+	return buffer[:max(n, 0)], nil
+}
+
+// handleEvents handles events for at most about maxEventTime, and then only closes. It returns those that are left for
+// the next iteration.
 func (l *Loop) handleEvents(events []unix.EpollEvent) (unhandled []unix.EpollEvent) {
 	for i, event := range events {
 		l.dispatch(event)
 		if l.ReadClock()-l.now >= maxEventTime {
-			return events[i+1:]
+			return l.handleCloses(events[i+1:])
 		}
 	}
 	return nil
 }
 
+// handleCloses handles those events that report that a peer has closed or reset its connection: the iteration makes
+// decisions for the peers whose close it has not seen. It returns the other events, in the memory of events.
+func (l *Loop) handleCloses(events []unix.EpollEvent) (others []unix.EpollEvent) {
+	others = events[:0]
+	for _, event := range events {
+		if event.Events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+			l.dispatch(event)
+			continue
+		}
+		others = append(others, event)
+	}
+	return others
+}
+
 // waitMillis returns how long to wait for events, in whole milliseconds, rounded up.
 func (l *Loop) waitMillis() int {
 	if l.mustIterateAgain() {
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -137,42 +137,99 @@
 	}
 }
 
-// TestBusyConnectionsDelayNoTimer guards against an iteration that handles all events of many busy connections before
-// timers, decisions and output get their turn.
-func TestBusyConnectionsDelayNoTimer(t *testing.T) {
-	const (
-		conns    = 30
-		workTime = 10 * time.Millisecond // of one event
-		// maxHandled is how many events may be handled while the timer is due: those of one iteration of limited length.
-		maxHandled = 3
-	)
-	l, onLoop := startLoop(t)
-	handled, accepted := 0, 0
-	ln := listen(t, l, onLoop, func(c *Conn) Handler {
+// busyLoop is a running loop with connections whose events take long to be handled.
+type busyLoop struct {
+	loop    *Loop
+	onLoop  func(func())
+	clients []net.Conn
+	handled int // events of the connections; only the loop's goroutine may access it
+	// closedAfter is how many events had been handled when the last connection closed; -1 = it has not.
+	closedAfter int
+}
+
+const (
+	busyConns    = 30
+	busyWorkTime = 10 * time.Millisecond // of one event
+	// maxHandledMeanwhile is how many events may be handled while something else is due: those of an iteration.
+	maxHandledMeanwhile = 3
+)
+
+// startBusyLoop starts a loop with busyConns connections, and one more that is not busy.
+func startBusyLoop(t *testing.T) *busyLoop {
+	t.Helper()
+	b := &busyLoop{closedAfter: -1}
+	b.loop, b.onLoop = startLoop(t)
+	accepted := 0
+	ln := listen(t, b.loop, b.onLoop, func(c *Conn) Handler {
 		accepted++
-		return &connRecorder{conn: c, onReceived: func([]byte) { handled++; time.Sleep(workTime) }}
+		return &busyHandler{connRecorder: connRecorder{conn: c}, loop: b}
 	})
-	var clients []net.Conn
-	for range conns {
+	for range busyConns + 1 {
 		client, err := net.Dial("tcp", ln.Addr().String())
 		must(t, err)
-		defer client.Close()
-		clients = append(clients, client)
+		t.Cleanup(func() { client.Close() })
+		b.clients = append(b.clients, client)
 	}
-	waitUntil(t, onLoop, "all connections are accepted", func() bool { return accepted == conns })
-	var timer Timer
-	handledAtTimer := -1
-	onLoop(func() { // while it runs, all input arrives
-		for _, client := range clients {
+	waitUntil(t, b.onLoop, "all connections are accepted", func() bool { return accepted == len(b.clients) })
+	return b
+}
+
+// makeBusy lets input of all busy connections arrive in one iteration, and then calls then on the loop.
+func (b *busyLoop) makeBusy(t *testing.T, then func()) {
+	t.Helper()
+	b.onLoop(func() {
+		for _, client := range b.clients[:busyConns] {
 			_, err := client.Write([]byte("x"))
 			must(t, err)
 		}
-		l.SetTimer(&timer, l.Now()+1, func(Nanos) { handledAtTimer = handled })
+		then()
 	})
-	waitUntil(t, onLoop, "all input is handled", func() bool { return handled == conns && handledAtTimer >= 0 })
-	onLoop(func() {
-		if handledAtTimer > maxHandled {
-			t.Errorf("the timer fired after %d of %d events, want at most %d", handledAtTimer, conns, maxHandled)
-		}
+}
+
+// busyHandler takes busyWorkTime for each event.
+type busyHandler struct {
+	connRecorder
+	loop *busyLoop
+}
+
+func (h *busyHandler) Received(Nanos, []byte) {
+	h.loop.handled++
+	time.Sleep(busyWorkTime)
+}
+
+func (h *busyHandler) PeerHalfClosed(Nanos) { h.loop.closedAfter = h.loop.handled }
+
+// TestBusyConnectionsDelayNoTimer guards against an iteration that handles all events of many busy connections before
+// timers, decisions and output get their turn.
+func TestBusyConnectionsDelayNoTimer(t *testing.T) {
+	b := startBusyLoop(t)
+	var timer Timer
+	handledAtTimer := -1
+	b.makeBusy(t, func() {
+		b.loop.SetTimer(&timer, b.loop.Now()+1, func(Nanos) { handledAtTimer = b.handled })
 	})
+	waitUntil(t, b.onLoop, "all input is handled", func() bool { return b.handled == busyConns && handledAtTimer >= 0 })
+	if handledAtTimer > maxHandledMeanwhile {
+		t.Errorf("the timer fired after %d of %d events, want at most %d", handledAtTimer, busyConns, maxHandledMeanwhile)
+	}
+}
+
+// TestBusyConnectionsHideNoClose guards against decisions for a peer that has left, whose close waits behind the events
+// of busy connections.
+func TestBusyConnectionsHideNoClose(t *testing.T) {
+	for name, wait := range map[string]time.Duration{"with the events": 0, "while they are handled": 3 * busyWorkTime} {
+		t.Run(name, func(t *testing.T) {
+			b := startBusyLoop(t)
+			leaving, handledAtClose := b.clients[busyConns], 0
+			b.makeBusy(t, func() {
+				time.AfterFunc(wait, func() { leaving.Close() })
+				handledAtClose = int(wait / busyWorkTime)
+				time.Sleep(busyWorkTime) // the first close is there when the events are
+			})
+			waitUntil(t, b.onLoop, "the close is noticed", func() bool { return b.closedAfter >= 0 })
+			if late := b.closedAfter - handledAtClose; late > maxHandledMeanwhile {
+				t.Errorf("the close was noticed after %d more events, want at most %d", late, maxHandledMeanwhile)
+			}
+		})
+	}
 }
