frontend: a pipelined request of a client that has left is not submitted

Cause: requests behind the one in flight are decoded when that has its answer. If the client has closed by then and the close is not handled yet, they are submitted, while the client sends them again on another connection.

Evidence: TestPipelinedRequestOfLeftClientIsNotSubmitted, before: 2 requests were submitted, want 1; after: 1.

Why it works: before a connection decodes what was pipelined, it asks the system whether the peer has closed (POLLRDHUP), which is known even behind unread bytes.

--- a/internal/frontend/platform/receive.go
+++ b/internal/frontend/platform/receive.go
@@ -65,8 +65,12 @@
 // takeTurn decodes pipelined input, if no request is in flight.
 func (c *conn) takeTurn(now eventloop.Nanos) {
 	c.incoming.scheduled = false
-	if c.isBetweenRequests() {
-		c.now = now
+	c.now = now
+	switch {
+	case !c.isBetweenRequests():
+	case c.transport.PeerHasClosed(): // what it has pipelined may come again on another connection
+		c.transport.Close()
+	default:
 		c.decode(nil)
 	}
 }
--- a/internal/frontend/platform/server_test.go
+++ b/internal/frontend/platform/server_test.go
@@ -184,3 +184,25 @@
 		})
 	}
 }
+
+// TestPipelinedRequestOfLeftClientIsNotSubmitted guards against an id that runs twice: a client closes its connection
+// with a request pipelined and sends it again on another one, while the close waits to be handled.
+func TestPipelinedRequestOfLeftClientIsNotSubmitted(t *testing.T) {
+	s := startServer(t, 10)
+	c := s.dial()
+	second := strings.Replace(completionRequest("held", validBody), "00aa", "00bb", 1)
+	send(t, c, completionRequest("held", validBody)+second)
+	s.waitUntil("the first request is submitted", func() bool { return len(s.dispatcher.writers) == 1 })
+	s.runOnLoop(func() {
+		c.Close()
+		time.Sleep(10 * time.Millisecond) // the close arrives
+		s.dispatcher.writers[0].Reject(1, frontend.RejectionError{Reason: "gone"})
+		s.server.takeTurns(s.loop.Now())
+	})
+	s.waitUntil("the connection is closed", func() bool { return s.server.ConnCount() == 0 })
+	s.runOnLoop(func() {
+		if n := len(s.dispatcher.writers); n != 1 {
+			t.Errorf("%d requests were submitted, want 1", n)
+		}
+	})
+}
