lab soak: storms of connections and hundreds of clients with small requests

Two more kinds of pressure, with tests: connections that are closed as soon as they have sent a part of a request, a malformed one or a whole one, and clients that ask again as soon as they are answered.

--- a/cmd/docksail/pressure_test.go
+++ b/cmd/docksail/pressure_test.go
@@ -244,7 +244,7 @@
 // TestFloodOnOneConnectionDelaysNoOtherAnswer guards against a client that sends small or malformed requests at full
 // speed, each with new names: others get their answers in time, and memory does not grow without end.
 func TestFloodOnOneConnectionDelaysNoOtherAnswer(t *testing.T) {
-	for _, kind := range []soak.PressureKind{soak.Flood, soak.InvalidFlood} {
+	for _, kind := range []soak.PressureKind{soak.Flood, soak.InvalidFlood, soak.ConnectionStorm} {
 		t.Run(kind.String(), func(t *testing.T) {
 			result := pressureTest{
 				kind: kind, clients: 1, memoryMB: 80, descriptors: 512, duration: 6 * time.Second,
@@ -255,6 +255,16 @@
 	}
 }
 
+// TestManySmallRequestsDelayNoOtherAnswer guards against answers that come late while hundreds of clients ask again as
+// soon as they are answered.
+func TestManySmallRequestsDelayNoOtherAnswer(t *testing.T) {
+	result := pressureTest{
+		kind: soak.SmallRequests, clients: 250, memoryMB: 80, descriptors: 512, duration: 6 * time.Second,
+	}.run(t)
+	result.wantWithinMemoryLimit(t, 80)
+	result.wantProbesAnswered(t)
+}
+
 // TestNoAttemptAfterClientLeft guards against attempts for clients that have closed their connection with bytes unread:
 // none begins later than the tolerance after the close.
 func TestNoAttemptAfterClientLeft(t *testing.T) {
--- a/internal/lab/soak/pressure.go
+++ b/internal/lab/soak/pressure.go
@@ -33,6 +33,11 @@
 	Flood
 	// InvalidFlood is malformed requests at full speed, on a new connection whenever the last one was closed.
 	InvalidFlood
+	// SmallRequests are complete small requests, each followed by another once it is answered.
+	SmallRequests
+	// ConnectionStorm is connections that are closed as soon as they have sent something, in turns a part of a request, a
+	// malformed one and a whole one, without a look at the answer.
+	ConnectionStorm
 	// Deserters pipeline several requests on one connection and close it at a random moment.
 	Deserters
 
@@ -40,15 +45,17 @@
 )
 
 var pressureNames = [PressureKindCount]string{
-	LargeRequests: "large requests",
-	ManyFields:    "requests of many fields",
-	HalfRequests:  "half requests",
-	HalfHeads:     "half heads of many fields",
-	SlowReaders:   "slow readers",
-	SlowWriters:   "slow writers",
-	Flood:         "a flood of small requests",
-	InvalidFlood:  "a flood of malformed requests",
-	Deserters:     "clients that leave with requests unread",
+	LargeRequests:   "large requests",
+	ManyFields:      "requests of many fields",
+	HalfRequests:    "half requests",
+	HalfHeads:       "half heads of many fields",
+	SlowReaders:     "slow readers",
+	SlowWriters:     "slow writers",
+	Flood:           "a flood of small requests",
+	InvalidFlood:    "a flood of malformed requests",
+	SmallRequests:   "small requests",
+	ConnectionStorm: "a storm of connections",
+	Deserters:       "clients that leave with requests unread",
 }
 
 // String returns the name of the kind in words.
@@ -195,6 +202,13 @@
 	case Flood, InvalidFlood:
 		go p.countAnswers(in)
 		p.flood(conn, end)
+	case SmallRequests:
+		p.exchange(in, end, func(id string) error {
+			_, err := io.WriteString(conn, head(id, "", len(requestBody))+requestBody)
+			return err
+		})
+	case ConnectionStorm:
+		p.storm(conn, end)
 	case Deserters:
 		p.desert(n, conn)
 	case PressureKindCount:
@@ -310,6 +324,29 @@
 	}
 }
 
+// storm uses one connection after another until end.
+func (p *Pressure) storm(conn net.Conn, end time.Time) {
+	for n := 0; time.Now().Before(end); n++ {
+		id := p.nextID()
+		request := head(id, "", len(requestBody)) + requestBody
+		switch n % 3 {
+		case 0:
+			request = request[:len(request)/2]
+		case 1:
+			request = "POST / HTTP/1.1\r\nX-Txn: " + id + "\r\n\r\n"
+		}
+		_, _ = io.WriteString(conn, request)
+		conn.Close()
+		time.Sleep(p.Pause)
+		next, err := net.DialTimeout("tcp", p.Dispatcher.Addr, dialTimeout)
+		if err != nil {
+			return
+		}
+		conn = next
+	}
+	conn.Close()
+}
+
 // flood writes requests at full speed until the connection ends.
 func (p *Pressure) flood(conn net.Conn, end time.Time) {
 	for time.Now().Before(end) {
--- a/internal/lab/soak/schedule.go
+++ b/internal/lab/soak/schedule.go
@@ -96,7 +96,7 @@
 // is a load of its own.
 func drawClients(rng *rand.Rand, kind PressureKind, maxDescriptors int) int {
 	switch kind {
-	case Flood, InvalidFlood:
+	case Flood, InvalidFlood, ConnectionStorm:
 		return 1 + rng.IntN(maxFloodClients)
 	case SlowReaders:
 		return maxDescriptors/16 + rng.IntN(maxDescriptors/16)
