node: what the memory budget refuses is logged, and why a connection was closed

Now a record "memory budget reached", once a second at most, has the bytes by use and what was refused and paused since the last one; the record counts has the same and the peak. At level debug each refusal, rejection and closed connection of a client has its reason.

--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -93,6 +93,7 @@
 	peak          int64
 	used          [UseCount]int64
 	refused       [UseCount]uint64
+	paused        uint64
 	outputBytes   func() int64 // nil = Output is charged by accounts
 }
 
@@ -144,6 +145,7 @@
 	}
 	b.refreshOutput()
 	if float64(b.used[Responses]+b.used[Output]) > pausedFraction*float64(b.limit) {
+		b.paused++
 		return 0
 	}
 	return pauseBytes
@@ -198,6 +200,7 @@
 	Output          int64
 	// Refused counts what was not admitted, by use, in the order of the fields above.
 	Refused [UseCount]uint64
+	Paused  uint64 // pieces of answers that came while senders are paused at once
 }
 
 // Status returns the present state.
@@ -209,6 +212,6 @@
 	return Status{
 		LimitBytes: b.limit, HeldBytes: b.total, PeakBytes: b.peak, MeasuredBytes: b.measured,
 		Connections: b.used[Connections], PartialRequests: b.used[PartialRequests], Requests: b.used[Requests],
-		Responses: b.used[Responses], Output: b.used[Output], Refused: b.refused,
+		Responses: b.used[Responses], Output: b.used[Output], Refused: b.refused, Paused: b.paused,
 	}
 }
--- a/internal/frontend/platform/evict.go
+++ b/internal/frontend/platform/evict.go
@@ -52,6 +52,7 @@
 	default:
 		return false
 	}
+	s.logEvent(c, "connection closed", "a new connection needs its place")
 	s.heapOf(c.lifecycle.state).Remove(c)
 	c.transport.Close()
 	return true
--- a/internal/frontend/platform/lifecycle.go
+++ b/internal/frontend/platform/lifecycle.go
@@ -63,6 +63,7 @@
 		deadline := clientconn.StateDeadline(clientconn.StateLingering, now)
 		c.server.loop.SetTimer(timer, deadline, c.lifecycle.onTimer)
 	default:
+		c.server.logEvent(c, "connection closed", "its time in the state is over")
 		c.transport.Close()
 	}
 }
--- a/internal/frontend/platform/respond.go
+++ b/internal/frontend/platform/respond.go
@@ -16,6 +16,7 @@
 // rejectInvalid answers a request, complete or not, with an error status and ends the connection.
 func (c *conn) rejectInvalid(status int, reason string) {
 	c.server.Counts.InvalidRequests++
+	c.server.logEvent(c, "request refused", reason)
 	c.response.closeAfter = true
 	c.respond(status, 0, reason)
 }
@@ -146,6 +147,7 @@
 // Reject implements frontend.ResponseWriter.
 func (c *conn) Reject(_ policy.RequestID, rejection frontend.RejectionError) {
 	if !c.closed {
+		c.server.logEvent(c, "request rejected", rejection.Reason)
 		c.respond(http.StatusServiceUnavailable, rejection.RetryAfter, rejection.Reason)
 	}
 }
--- a/internal/frontend/platform/server.go
+++ b/internal/frontend/platform/server.go
@@ -110,6 +110,13 @@
 	}
 }
 
+// logEvent logs what happened to a connection, or to the request on it, and why, if single requests are logged.
+func (s *Server) logEvent(c *conn, event, reason string) {
+	if s.requestLog != nil {
+		s.requestLog.Debug(event, "conn", c.sequence, "request_id", string(c.incoming.head.id), "reason", reason)
+	}
+}
+
 // PauseAccepting sets whether new connections wait in the kernel's accept queue instead of being accepted.
 func (s *Server) PauseAccepting(paused bool) { s.listener.SetAcceptPaused(paused) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,7 +66,7 @@
 	clients, servers := clientconn.DescriptorShares(config.Limits.Descriptors)
 	n := &Node{loop: loop, log: log, policy: platformConfig.Policy, done: make(chan struct{})}
 	n.policy.LimitPrefixes(memory.MaxPrefixes(config.Limits.MemoryMB << 20))
-	n.memory = newMemoryMonitor(loop, config.Limits.MemoryMB<<20)
+	n.memory = newMemoryMonitor(loop, log, config.Limits.MemoryMB<<20)
 	n.dispatcher = newDispatcher(loop, log, platformConfig, config, n.memory.budget, incarnation)
 	limits := frontend.Limits{Connections: clients, Memory: n.memory.budget}
 	n.frontend = frontend.New(loop, n.dispatcher, limits, n.dispatcher.HasEndpointList)
