decide/memory: what grows in small steps is small or large as a whole

Found while reading again. Cause: an addition of at most 32 KB counted as small, so that the body of a large request that came in small reads took the room kept for small requests, up to 7/8 of the budget in place of a quarter. Why it works: the budget is told what the holder has already. An answer under way is no longer refused for the measured memory.

--- a/internal/backend/platform/conn.go
+++ b/internal/backend/platform/conn.go
@@ -142,7 +142,8 @@
 	response := &c.exchange.response
 	fields := cap(response.decoder.Head.Fields) * int(unsafe.Sizeof(h1.Field{}))
 	held := int64(serverconn.ConnectionBytes + c.input.Cap() + cap(response.buffered) + fields)
-	admitted := held <= c.memory.Bytes() || c.backend.memory.Admits(memory.Responses, held-c.memory.Bytes())
+	before := c.memory.Bytes()
+	admitted := held <= before || c.backend.memory.Admits(memory.Responses, before, held-before)
 	c.memory.Set(held)
 	if !admitted && c.exchange.inProgress() {
 		c.backend.Counts.ResponsesOutOfMemory++
--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -118,9 +118,10 @@
 // NewForHeap returns the budget of a process whose heap alone is limited, in bytes. Peers may fill all of it.
 func NewForHeap(limit int64) *Budget { return &Budget{limit: limit, measuredLimit: math.MaxInt64} }
 
-// Admits reports whether n more bytes may be held for a use, and counts the refusal if not.
-func (b *Budget) Admits(use Use, n int64) bool {
-	if b == nil || b.fits(use, n) {
+// Admits reports whether n more bytes may be held for a use, and counts the refusal if not. They belong to what holds
+// held bytes already, and is small or large as a whole.
+func (b *Budget) Admits(use Use, held, n int64) bool {
+	if b == nil || b.fits(use, held, n) {
 		return true
 	}
 	b.refused[use]++
@@ -128,14 +129,14 @@
 }
 
 // fits reports whether n more bytes of a use fit in the budget.
-func (b *Budget) fits(use Use, n int64) bool {
+func (b *Budget) fits(use Use, held, n int64) bool {
 	b.refreshOutput()
 	limit, c := float64(b.limit), ceilings[use]
-	if n <= smallBytes {
+	if held+n <= smallBytes {
 		return float64(b.total+n) <= max(c.total, smallCeiling)*limit
 	}
-	return float64(b.used[use]+n) <= c.own*limit && float64(b.total+n) <= c.total*limit &&
-		b.measured <= b.measuredLimit
+	measuredFits := use == Responses || b.measured <= b.measuredLimit // an answer under way is not given up for it
+	return measuredFits && float64(b.used[use]+n) <= c.own*limit && float64(b.total+n) <= c.total*limit
 }
 
 // PauseThreshold returns the output queued for one peer above which its sender is paused.
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -81,7 +81,7 @@
 // checkIntake returns an error if intake does not accept the request.
 func (d *Dispatcher) checkIntake(r *frontend.Request, timeLeft, latencyTarget int64) error {
 	verdict, retryAfter := d.intake.Check(d.requests.Len(), r.PromptTokens, timeLeft, latencyTarget)
-	if verdict == intake.Accepted && !d.memory.Admits(memory.Requests, requestBytes(r)) {
+	if verdict == intake.Accepted && !d.memory.Admits(memory.Requests, 0, requestBytes(r)) {
 		verdict, retryAfter = intake.OutOfMemory, latencyTarget/2
 	}
 	if verdict == intake.Accepted {
--- a/internal/frontend/platform/memory.go
+++ b/internal/frontend/platform/memory.go
@@ -56,7 +56,7 @@
 	}
 	if size := len(body) + len(data); size > cap(body) {
 		grown := clientconn.GrownBodyBytes(size, c.incoming.decoder.Head.ContentLength, maxBodyBytes)
-		if !s.makeRoom(c, int64(grown-cap(body))) {
+		if !s.makeRoom(c, cap(body), grown-cap(body)) {
 			c.rejectInvalid(http.StatusServiceUnavailable, "too many bytes of incomplete requests")
 			return
 		}
@@ -77,7 +77,7 @@
 	c.chargeInput()
 	switch c.lifecycle.state {
 	case clientconn.StateReadingRequest:
-		if c.incoming.decoder.AtMessageStart() && !c.server.makeRoom(c, 0) {
+		if c.incoming.decoder.AtMessageStart() && !c.server.makeRoom(c, c.incoming.buffer.Cap(), 0) {
 			c.rejectInvalid(http.StatusServiceUnavailable, "too many bytes of incomplete requests")
 		}
 	case clientconn.StateActive:
@@ -97,10 +97,10 @@
 	c.chargeInput()
 }
 
-// makeRoom reports whether a connection may hold n more bytes of an incomplete request. If the budget has no room, it
-// refuses the requests of others that have been incomplete for longest.
-func (s *Server) makeRoom(c *conn, n int64) bool {
-	for !s.limits.Memory.Admits(memory.PartialRequests, n) {
+// makeRoom reports whether a connection may hold n more bytes of an incomplete request, of which it holds some. If the
+// budget has no room, it refuses the requests of others that have been incomplete for longest.
+func (s *Server) makeRoom(c *conn, held, n int) bool {
+	for !s.limits.Memory.Admits(memory.PartialRequests, int64(held), int64(n)) {
 		if s.holders.Len() == 0 {
 			return false
 		}
--- a/internal/frontend/platform/overflow.go
+++ b/internal/frontend/platform/overflow.go
@@ -69,7 +69,7 @@
 
 // hasMemoryFor reports whether the budget has room for n more bytes of input.
 func (c *conn) hasMemoryFor(n int) bool {
-	return c.server.limits.Memory.Admits(memory.PartialRequests, int64(n))
+	return c.server.limits.Memory.Admits(memory.PartialRequests, int64(c.incoming.buffer.Len()), int64(n))
 }
 
 // beginOverflow handles input behind the request in flight that must not be kept. Of what is kept already and of p,
