lab soak: an answer under pressure that was cut off is not one that is missing

The clients of a pressure counted every answer that did not come whole as none. They now report a cut answer as such, like the other clients do; the check of missing answers is as it was.

--- a/internal/lab/soak/pressureclient.go
+++ b/internal/lab/soak/pressureclient.go
@@ -86,22 +86,24 @@
 		}
 		sentAt := time.Now()
 		oracle.RequestComplete(Now(), id)
-		status, ended := readAnswer(in)
+		answer := readAnswer(in)
 		if time.Now().After(end) { // the client has stopped waiting
 			oracle.ClientCanceled(Now(), id)
 			return
 		}
-		p.noteAnswer(status, sentAt)
-		if status == 0 {
+		p.noteAnswer(answer.status, sentAt)
+		switch late := time.Since(sentAt) - pressureRemaining; {
+		case answer.truncated:
+			oracle.StreamTruncated(id, 0)
+		case answer.status == 0:
 			oracle.AnswerMissingUnlessUnread(id, "closed without an answer")
-		}
-		if late := time.Since(sentAt) - pressureRemaining; late > answerTolerance && status != http.StatusOK {
+		case late > answerTolerance && answer.status != http.StatusOK:
 			oracle.AnswerMissing(id, fmt.Sprintf("answered %v after its time", late))
 		}
-		if ended {
+		if answer.ended {
 			return
 		}
-		if status != http.StatusOK {
+		if answer.status != http.StatusOK {
 			time.Sleep(p.Pause)
 		}
 	}
@@ -140,27 +142,33 @@
 	return nil
 }
 
-// readAnswer reads an answer and returns its status, or 0 if it does not come completely, and whether the connection
-// has ended.
-func readAnswer(in *bufio.Reader) (status int, ended bool) {
+// pressureAnswer is the answer to a request of a pressure.
+type pressureAnswer struct {
+	status    int  // 0 = it did not come completely
+	truncated bool // it began and did not come completely, as the answer of a server whose connection is lost
+	ended     bool // the connection has ended
+}
+
+// readAnswer reads an answer.
+func readAnswer(in *bufio.Reader) pressureAnswer {
 	response, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return 0, true
+		return pressureAnswer{ended: true}
 	}
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return 0, true
+		return pressureAnswer{truncated: true, ended: true}
 	}
 	if response.Close {
 		_, _ = io.Copy(io.Discard, in) // waits for the end of the connection
 	}
-	return response.StatusCode, response.Close
+	return pressureAnswer{status: response.StatusCode, ended: response.Close}
 }
 
 // countAnswer reads and counts an answer. It reports whether the connection has ended.
 func (p *Pressure) countAnswer(in *bufio.Reader) (ended bool) {
-	status, ended := readAnswer(in)
-	p.count(status)
-	return ended
+	answer := readAnswer(in)
+	p.count(answer.status)
+	return answer.ended
 }
 
 // countAnswers reads answers until the connection ends.
