serve: small requests are left to the admission queue, as memory_bytes says

Cause: since intake rejected requests that the budget of memory_bytes had no room for; with a limit of one byte that was every request, before the admission queue could shed any, which is what memory_bytes is documented to do.

--- a/internal/decide/memory/memory.go
+++ b/internal/decide/memory/memory.go
@@ -88,6 +88,7 @@
 type Budget struct {
 	limit         int64
 	measuredLimit int64
+	admitsSmall   bool // whether small requests are always admitted
 	measured      int64
 	total         int64
 	peak          int64
@@ -115,8 +116,11 @@
 	}
 }
 
-// NewForHeap returns the budget of a process whose heap alone is limited, in bytes. Peers may fill all of it.
-func NewForHeap(limit int64) *Budget { return &Budget{limit: limit, measuredLimit: math.MaxInt64} }
+// NewForHeap returns the budget of a process whose heap alone is limited, in bytes, and which sheds small requests by
+// itself when the heap exceeds that limit. Peers may fill all of it.
+func NewForHeap(limit int64) *Budget {
+	return &Budget{limit: limit, measuredLimit: math.MaxInt64, admitsSmall: true}
+}
 
 // Admits reports whether n more bytes may be held for a use, and counts the refusal if not. They belong to what holds
 // held bytes already, and is small or large as a whole.
@@ -133,7 +137,7 @@
 	b.refreshOutput()
 	limit, c := float64(b.limit), ceilings[use]
 	if held+n <= smallBytes {
-		return float64(b.total+n) <= max(c.total, smallCeiling)*limit
+		return b.admitsSmall || float64(b.total+n) <= max(c.total, smallCeiling)*limit
 	}
 	measuredFits := use == Responses || b.measured <= b.measuredLimit // an answer under way is not given up for it
 	return measuredFits && float64(b.used[use]+n) <= c.own*limit && float64(b.total+n) <= c.total*limit
