--- a/internal/lab/soak/dispatcher.go
+++ b/internal/lab/soak/dispatcher.go
@@ -33,6 +33,7 @@
 	incarnation int
 	exited      chan error // holds the result of Wait once the process has ended
 	terminated  Instant    // when SIGTERM was sent to the process; 0 = not yet
+	ready       bool       // the process has been ready
 	killTime    time.Time  // when it is to be killed if it has not exited; zero = no such plan
 }
 
@@ -102,11 +103,18 @@
 	d.mu.Lock()
 	d.process, d.exited = process, exited
 	d.incarnation++
-	d.terminated, d.killTime = 0, time.Time{}
+	d.terminated, d.killTime, d.ready = 0, time.Time{}, false
 	d.mu.Unlock()
 	return nil
 }
 
+// isReady reports whether the process has been ready.
+func (d *Dispatcher) isReady() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ready
+}
+
 // waitReady waits until the dispatcher's health check succeeds.
 func (d *Dispatcher) waitReady() error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyPollInterval) {
@@ -116,6 +124,9 @@
 		}
 		response.Body.Close()
 		if response.StatusCode == http.StatusOK {
+			d.mu.Lock()
+			d.ready = true
+			d.mu.Unlock()
 			return nil
 		}
 	}
--- a/internal/lab/soak/signals.go
+++ b/internal/lab/soak/signals.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
 	"slices"
 	"strconv"
 	"strings"
@@ -90,13 +92,24 @@
 	start := time.Now()
 	d.sendSignals(series)
 	ended, err := d.WaitExit(time.Until(start.Add(gracePeriod)))
-	if ended && err != nil {
+	if ended && err != nil && !d.endedInStart(err) {
 		return fmt.Errorf("dispatcher %s exited: %w", d.Name, err)
 	}
 	d.Kill()
 	return d.Start()
 }
 
+// endedInStart reports whether SIGTERM has ended the process before it was ready, as it does before the program handles
+// signals. By the platform's page a dispatcher that ends after SIGTERM has not crashed, and it had taken no request.
+func (d *Dispatcher) endedInStart(exit error) bool {
+	exitError, ok := errors.AsType[*exec.ExitError](exit)
+	if !ok {
+		return false
+	}
+	status, ok := exitError.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM && !d.isReady()
+}
+
 // programInitTime is the time after the Go runtime is up within which a dispatcher handles signals.
 const programInitTime = 10 * time.Millisecond
 
