--- a/policy/fairness_test.go
+++ b/policy/fairness_test.go
@@ -33,6 +33,7 @@
 	tenant       TenantID
 	sentAt       Nanos // when the outstanding attempt was sent
 	answered     bool
+	rejected     bool
 }
 
 const (
@@ -105,6 +106,8 @@
 		case CancelAttempt:
 			elapsed := f.now - f.requests[decision.Request-1].sentAt
 			router.AttemptEnded(f.now, decision.Request, decision.Attempt, Canceled, elapsed, false, NoLoadReport)
+		case RejectRequest, FailRequest:
+			f.requests[decision.Request-1].rejected = true
 		default:
 		}
 	}
