policy: waiting requests are sent in the order of the time that their callers have

What callers saw: of two that wait, the one with 8 s left was sent before the one with 3 s; a server that came or became free was noticed at the next review only, and a new request could take it before those that waited. Cause: reviewRequests looked at waiting requests in the order of their slots, the work queue was first in, first out, and no event woke those that waited. Cost: a heap instead of a queue, and a sorted list of those that wait; no allocation.

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -66,6 +66,7 @@
 		return
 	}
 	r.recordFirstResponse(now, req, elapsed, responseSucceeded)
+	r.wakeWaiting(wokenPerEvent)
 	req.phase, req.stateHeld, req.reviewAt = streaming, false, Never
 }
 
@@ -98,7 +99,9 @@
 	req.applyOutcome(now, outcome)
 	req.finished = req.finished || answered
 	req.attemptOutstanding, req.attemptServer, req.combined = false, noServer, false
+	r.setUrgency(now, req)
 	r.requests.enqueue(slot)
+	r.wakeWaiting(wokenPerEvent)
 }
 
 // applyOutcome updates the phase and the KV state of a request after an attempt.
--- a/policy/heldstate.go
+++ b/policy/heldstate.go
@@ -8,7 +8,10 @@
 // respond must not extend the time within which a state has to be released (rule five). A state that is too old for
 // another attempt is released, and its prompt is processed again.
 func (r *Router) StateHeldSince(now Nanos, id RequestID, since Nanos) {
-	_, req := r.requests.find(id)
+	slot, req := r.requests.find(id)
+	if req != nil {
+		r.stopWaiting(req)
+	}
 	switch {
 	case req == nil || !req.stateHeld || req.attemptOutstanding:
 	case since == Never:
@@ -19,6 +22,10 @@
 			req.phase = awaitingPrefill
 		}
 	}
+	if req != nil {
+		r.setUrgency(now, req)
+		r.requests.enqueue(slot)
+	}
 }
 
 // heldTooLong reports whether the KV state of a request is too old to wait for a decode server.
--- a/policy/next.go
+++ b/policy/next.go
@@ -37,9 +37,10 @@
 			return Decision{}, false
 		}
 		if decision, ok := r.decide(now, &r.requests.entries[slot]); ok {
+			r.requests.enqueue(slot) // its urgency may have changed
 			return decision, true
 		}
-		r.requests.dequeue()
+		r.requests.dequeue(slot)
 		r.removeIfFinished(slot)
 	}
 }
@@ -60,6 +61,7 @@
 func (r *Router) decide(now Nanos, req *requestState) (Decision, bool) {
 	switch {
 	case req.finished:
+		r.stopWaiting(req)
 		return r.decideFinished(req)
 	case req.phase == streaming:
 		return Decision{}, false
@@ -76,6 +78,7 @@
 	if to == noServer {
 		return r.waitOrGiveUp(now, req, r.waitedTooLong(now, req))
 	}
+	r.stopWaiting(req)
 	return r.sendAttempt(now, req, to), true
 }
 
@@ -129,14 +132,12 @@
 		req.phase == awaitingPrefill && r.deadlineTooClose(now, req)
 }
 
-// waitOrGiveUp gives up a request that has waited too long. Otherwise it schedules its next review, before its
-// deadline.
+// waitOrGiveUp gives up a request that has waited too long. Otherwise it waits for a server.
 func (r *Router) waitOrGiveUp(now Nanos, req *requestState, tooLong bool) (Decision, bool) {
 	if tooLong {
 		return r.giveUp(now, req)
 	}
-	r.scheduleReview(now, req, min(now+r.reviewInterval, req.Deadline-r.config.Responses.RoundInterval))
-	return Decision{}, false
+	return r.startWaiting(now, req)
 }
 
 // pickServer returns the server for the next stage of a request, or noServer.
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -9,6 +9,9 @@
 	streaming                    // the answer has begun
 )
 
+// waitingPhases is the number of phases in which a request waits for a server.
+const waitingPhases = 2
+
 // maxAvoidedServers is the maximum number of servers that a request avoids.
 const maxAvoidedServers = 4
 
@@ -38,6 +41,9 @@
 	firstRunAt         Nanos // when that attempt was sent
 	heldSince          Nanos
 	reviewAt           Nanos // when it is enqueued again
+	startBy            Nanos // when the rest of it has to begin for its answer to be in time; see setUrgency
+	queueIndex         int32 // in the work queue
+	isWaiting          bool  // waits for a server
 	latencyTarget      Nanos // including the allowance for the length of its prompt
 }
 
@@ -77,8 +83,7 @@
 	entries []requestState
 	free    []int32
 	byID    map[RequestID]int32
-	queue   []int32 // slots of the requests in the work queue, first in first out
-	head    int     // index in queue of the first slot that is not dequeued
+	queue   workQueue
 }
 
 func newRequestTable() requestTable { return requestTable{byID: make(map[RequestID]int32)} }
@@ -113,29 +118,6 @@
 	return -1, nil
 }
 
-// enqueue adds a request to the work queue unless it is already there.
-func (t *requestTable) enqueue(slot int32) {
-	if req := &t.entries[slot]; !req.enqueued {
-		req.enqueued = true
-		t.queue = append(t.queue, slot)
-	}
-}
-
-// peek returns the first slot of the work queue, and whether there is one.
-func (t *requestTable) peek() (int32, bool) {
-	if t.head == len(t.queue) {
-		t.queue, t.head = t.queue[:0], 0
-		return 0, false
-	}
-	return t.queue[t.head], true
-}
-
-// dequeue removes the first slot of the work queue.
-func (t *requestTable) dequeue() {
-	t.entries[t.queue[t.head]].enqueued = false
-	t.head++
-}
-
 // RequestArrived reports a new request. Unless it is canceled, it gets one final answer: that of an attempt, or a
 // RejectRequest or FailRequest decision.
 func (r *Router) RequestArrived(now Nanos, request Request) {
@@ -150,7 +132,9 @@
 	if req.Prefix != 0 {
 		r.prefixes.countRequest(uint64(req.Prefix))
 	}
+	r.setUrgency(now, req)
 	r.requests.enqueue(slot)
+	r.wakeWaiting(wokenPerEvent)
 }
 
 // RequestCanceled reports that a request no longer needs an answer: its client has canceled it or disconnected.
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -89,6 +89,7 @@
 // deadline has passed or a retry by the client may do harm, and a rejection otherwise.
 func (r *Router) giveUp(now Nanos, req *requestState) (Decision, bool) {
 	req.givenUp = true
+	r.stopWaiting(req)
 	if req.stateHeld && !req.attemptOutstanding {
 		return r.releaseState(req)
 	}
--- a/policy/router.go
+++ b/policy/router.go
@@ -24,7 +24,8 @@
 	shortestTarget Nanos // shortest latency target of all classes; observations of servers expire in multiples of it
 
 	requests     requestTable
-	activeCount  int32 // requests that have been sent to a server and are not finished
+	waiting      [waitingPhases]waitingList // by phase
+	activeCount  int32                      // requests that have been sent to a server and are not finished
 	requestLimit requestLimiter
 	quotas       []tokenBucket // by tenant
 
