policy: load and health are judged by the service time seen, not by the latency target

What callers saw: a class with a short latency target changed what all others got. A limit on attempts, an ejection, a stall, a pause and the refusal of a request without time came from latencies in shares of the target, so the same server was slow for one operator and healthy for another. Cause: latency / latency target was the only measure of load, health and work left. An attempt has queued if it took twice its service time and 100 ms more; a server is stalled after twice the high latency of its role, 300 ms at least, or half of the caller's time while nothing is known; the request limit falls where answers are missing or come too late for their callers; pauses of a limit below one last as long as attempts take. What was never seen is not extrapolated: it is tried. workLeft and timeLeft replace the share of the target in deadlineTooClose. Cost: some floats for each stage; one subtraction and division a response.

--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -30,8 +30,6 @@
 	srv := &r.servers[to]
 	srv.attemptSent(now, req.Class)
 	r.roleLimits[srv.role].attemptSent(now)
-	promptAllowance := req.latencyTarget - r.config.Classes[req.Class].LatencyTarget
-	srv.maxPromptAllowance = max(srv.maxPromptAllowance, promptAllowance)
 	srv.creditSpent++
 	if srv.role != Prefill {
 		srv.streams++
@@ -48,13 +46,18 @@
 		srv.queuedTokens += req.queuedTokens
 		r.recordCached(now, req, to)
 	}
+	req.stage, req.workTokens = r.stageOf(req, srv), req.PromptTokens
+	if req.phase != awaitingDecode {
+		req.workTokens = req.queuedTokens
+	}
+	srv.longestWork = max(srv.longestWork, r.work.serviceTime(req.stage, req.workTokens))
 	req.attemptOutstanding, req.cancelSent, req.attemptServer, req.sentAt = true, false, to, now
 	if req.attempts++; req.attempts == 1 {
 		r.activeCount++
 	}
 	return Decision{
 		Action: SendAttempt, Request: req.ID, Server: srv.id, CachedTokens: cached,
-		Duration: r.attemptTimeout(now, req, srv.role), SendBefore: r.sendBefore(req, srv),
+		Duration: r.attemptTimeout(now, req, to), SendBefore: r.sendBefore(req, srv),
 	}
 }
 
@@ -129,51 +132,69 @@
 	srv.queuedTokens = max(srv.queuedTokens-req.queuedTokens, 0)
 	req.queuedTokens = 0
 	if srv.outstanding == 0 {
-		srv.maxPromptAllowance = 0
-	}
-	latency := float64(elapsed) / float64(req.latencyTarget)
-	if req.phase == awaitingDecode {
-		r.recordTransfer(now, req, srv, latency, response)
+		srv.longestWork = 0
 	}
 	switch response {
 	case responseSucceeded:
-		r.recordSuccessfulResponse(now, req, srv, latency)
+		multiple, queued := r.work.addSample(req.stage, req.workTokens, elapsed)
+		r.recordTransfer(now, req, srv, elapsed, queued)
+		r.recordSuccessfulResponse(now, req, srv, multiple, queued)
 	case responseTooSlow:
-		r.latency.samples[srv.role].add(now, latency)
+		r.recordTransfer(now, req, srv, elapsed, true)
+		r.latency.samples[srv.role].add(now, r.work.multiple(req.stage, req.workTokens, elapsed))
 	case responseFailed:
+		r.endTransfer(req, srv)
 	}
 }
 
-// recordTransfer records the latency of the transfer of a KV state to a decode server, and adjusts the limit of the
-// prefill cell's link.
-func (r *Router) recordTransfer(now Nanos, req *requestState, to *server, latency float64, response firstResponse) {
-	from, scope := &r.servers[req.prefillServer], transferWithinCell
-	c := &r.locality.cells[from.cellIndex]
-	if !from.inCellOf(to) {
-		scope = transferBetweenCells
-		c.link.outstanding--
+// endTransfer records that the outstanding attempt, if it transfers a KV state between cells, uses the link no more. It
+// returns the cell of the prefill server, or nil.
+func (r *Router) endTransfer(req *requestState, to *server) *cellState {
+	if req.phase != awaitingDecode {
+		return nil
+	}
+	from := &r.servers[req.prefillServer]
+	if from.inCellOf(to) {
+		return nil
 	}
-	if response == responseFailed {
+	c := &r.locality.cells[from.cellIndex]
+	c.link.outstanding--
+	return c
+}
+
+// recordTransfer records how long the transfer of a KV state to a decode server took, and adjusts the limit of the
+// prefill cell's link.
+func (r *Router) recordTransfer(now Nanos, req *requestState, to *server, elapsed Nanos, queued bool) {
+	if req.phase != awaitingDecode {
 		return
 	}
-	r.transferLatencies[scope].add(now, latency)
-	if scope == transferBetweenCells {
-		c.link.adjust(latency, c.share[Prefill]*r.counts.serving[Prefill], r.config.Self.Count)
+	c := r.endTransfer(req, to)
+	if c == nil {
+		r.transferTimes[nearTransfer].add(now, float64(elapsed))
+		return
 	}
+	r.transferTimes[farTransfer].add(now, float64(elapsed))
+	c.link.adjust(queued, c.share[Prefill]*r.counts.serving[Prefill], r.config.Self.Count)
 }
 
-// recordSuccessfulResponse records the latency of a successful first response, as a share of the request's latency
-// target, and adjusts the limits by it.
-func (r *Router) recordSuccessfulResponse(now Nanos, req *requestState, srv *server, latency float64) {
-	srv.lastLatency = latency
+// recordSuccessfulResponse records the latency of a successful first response, as a multiple of the service time of its
+// work, and adjusts the limits by whether it has queued at its server.
+func (r *Router) recordSuccessfulResponse(now Nanos, req *requestState, srv *server, multiple float64, queued bool) {
+	srv.lastQueued = queued
 	if !r.inSlowStart(now, srv) {
 		r.throughput.warmAnswers[srv.role]++
 	}
-	r.roleLimits[srv.role].adjust(latency, r.counts.serving[srv.role], r.config.Self.Count)
-	r.latency.samples[srv.role].add(now, latency)
+	r.roleLimits[srv.role].adjust(queued, r.counts.serving[srv.role], r.config.Self.Count)
+	r.latency.samples[srv.role].add(now, multiple)
 	if r.transferSlow(now, req) {
 		return
 	}
-	srv.addLatency(now, latency)
-	r.requestLimit.recordAnswer(latency > lateLatency)
+	srv.addLatency(now, multiple)
+	r.requestLimit.recordAnswer(r.leavesTooLittleTime(now, req))
+}
+
+// leavesTooLittleTime reports whether the successful response to the outstanding attempt has come so late that the rest
+// of the request can hardly be in time. A stream that has begun is in time.
+func (r *Router) leavesTooLittleTime(now Nanos, req *requestState) bool {
+	return req.stage == prefillStage && r.timeLeft(now, req) < r.handOverTime(req.PromptTokens)
 }
--- a/policy/decode.go
+++ b/policy/decode.go
@@ -11,12 +11,16 @@
 	memoryRankSteps = 100
 )
 
-// transferScope says whether a KV state is transferred within a cell or between cells.
-type transferScope int
+// The transfers of KV state whose times are compared.
+const (
+	nearTransfer = iota // within a cell
+	farTransfer         // between cells
+)
 
 const (
-	transferWithinCell transferScope = iota
-	transferBetweenCells
+	// minSlowTransfer is the time up to which no transfer between cells is slow: another decode server would hardly
+	// begin the answer earlier.
+	minSlowTransfer = Nanos(150e6)
 )
 
 // The distances between a decode server and a prefill server. A smaller one is better.
@@ -43,7 +47,7 @@
 // prefill server's cell is at its limit, only servers of the cell are used.
 func (r *Router) pickDecode(now Nanos, req *requestState, pass selectionPass) int32 {
 	from := &r.servers[req.prefillServer]
-	linkFull := !r.locality.cells[from.cellIndex].link.allows(now, r.shortestTarget)
+	linkFull := !r.linkAllows(now, &r.locality.cells[from.cellIndex])
 	fewest := r.lowestEligible(now, req, pass, func(srv *server) (int64, bool) {
 		return streamCount(srv), srv.role != Prefill && (!linkFull || srv.inCellOf(from))
 	})
@@ -89,13 +93,18 @@
 	return r.random.fraction() < r.locality.cells[srv.cellIndex].spareCapacity[distance-sameZone]
 }
 
+// linkAllows reports whether the limit on transfers from a cell to others permits one more.
+func (r *Router) linkAllows(now Nanos, c *cellState) bool {
+	return c.link.allows(now, r.latency.attemptTime[Decode])
+}
+
 // remoteTransfersSlow reports whether transfers of KV state between cells take far longer than those within a cell,
 // and long enough to matter. Only recent transfers count.
 func (r *Router) remoteTransfersSlow(now Nanos) bool {
 	since := now - 4*r.shortestTarget
-	between := r.transferLatencies[transferBetweenCells].quantile(since, 0.5)
-	return between > minSlowLatency/2 &&
-		between > affinityYieldFactor*r.transferLatencies[transferWithinCell].quantile(since, 0.5)
+	far := r.transferTimes[farTransfer].quantile(since, 0.5)
+	return far > float64(minSlowTransfer) &&
+		far > affinityYieldFactor*r.transferTimes[nearTransfer].quantile(since, 0.5)
 }
 
 // transferSlow reports whether the outstanding attempt transfers its KV state over slow links. Its latency then says
--- a/policy/ejection.go
+++ b/policy/ejection.go
@@ -4,13 +4,13 @@
 	// slowFactor is the multiple of the median of its peers above which a server's high latency counts as slow. Uneven
 	// load makes 2, a fault 4 and more.
 	slowFactor = 3.0
-	// minSlowLatency is the share of the latency target up to which no latency counts as slow.
-	minSlowLatency = 1.0 / 3
+	// minSlowTime is the time up to which no server is slow: its clients gain more from the prefixes that it caches.
+	minSlowTime = Nanos(300e6)
 	// stallFactor is the multiple of the high latency of its role after which a server without a response is stalled.
 	stallFactor = 2.0
-	// minStallLatency is the minimum of the high latency that stalls are measured by, as a share of the latency
-	// target.
-	minStallLatency = 1.0 / 6
+	// minStallTime is the silence up to which no server is stalled: a lost packet is sent again after 200 ms, and the
+	// response still takes its time.
+	minStallTime = Nanos(300e6)
 	// minUnansweredToCancel is the minimum number of unanswered attempts at a stalled prefill server for them to be
 	// canceled. Fewer may only have queued.
 	minUnansweredToCancel = 6
@@ -44,7 +44,7 @@
 		srv.unreachable = true
 	case Rejected:
 		r.requestLimit.recordAnswer(true)
-		r.roleLimits[srv.role].adjust(1, r.counts.serving[srv.role], r.config.Self.Count)
+		r.roleLimits[srv.role].adjust(true, r.counts.serving[srv.role], r.config.Self.Count)
 		srv.fullUntil = now + req.latencyTarget/8
 		return
 	case NotSent, StateMissing, StaleConnection: // say nothing about the server's health
@@ -90,7 +90,7 @@
 func (r *Router) ejectSlowServers(now Nanos, count int) {
 	for i := range count {
 		srv := &r.servers[i]
-		if srv.highLatency <= max(minSlowLatency, slowFactor*r.latency.medianHigh[srv.role]) {
+		if srv.highLatency <= slowFactor*r.latency.medianHigh[srv.role] || !r.callersNotice(srv) {
 			continue
 		}
 		if srv.health == Serving && now >= srv.ejectedUntil && !r.inSlowStart(now, srv) {
@@ -99,6 +99,12 @@
 	}
 }
 
+// callersNotice reports whether callers would notice how slow a server is.
+func (r *Router) callersNotice(srv *server) bool {
+	usual := float64(r.work.meanServiceTime(roleStage[srv.role]))
+	return srv.highLatency*usual > float64(minSlowTime)
+}
+
 // ejectOutlier ejects a server that differs from its peers, unless too many servers are ejected.
 func (r *Router) ejectOutlier(now Nanos, srv *server, reason EjectionReason) {
 	if !r.tooManyEjected(now, srv.role) {
@@ -120,7 +126,9 @@
 }
 
 // maxEjectionTime returns the longest duration of an ejection.
-func (r *Router) maxEjectionTime() Nanos { return max(r.config.SlowStart.WarmupTime, r.shortestTarget) }
+func (r *Router) maxEjectionTime() Nanos {
+	return max(r.config.SlowStart.WarmupTime, r.shortestTarget)
+}
 
 // tooManyEjected reports whether no further outlier of a stage may be ejected. Decode and mixed servers are one stage.
 func (r *Router) tooManyEjected(now Nanos, role Role) bool {
@@ -160,8 +168,17 @@
 // response ends the stall. A stalled prefill server gets no new requests, but its attempts are canceled only if many
 // are outstanding: a few have probably only queued, and would lengthen the queues of other servers.
 func (r *Router) stalled(now Nanos, srv *server, class ClassID) bool {
-	latency := max(r.latency.high[srv.role], minStallLatency)
-	maxSilence := stallFactor * latency * float64(r.config.Classes[class].LatencyTarget)
 	c := &srv.byClass[class]
-	return c.outstanding > 0 && now-c.lastResponseAt > Nanos(maxSilence)+srv.maxPromptAllowance
+	return c.outstanding > 0 && now-c.lastResponseAt > r.maxSilence(srv, class)
+}
+
+// maxSilence returns how long a server with outstanding attempts of a class may take for a response before it is
+// stalled. While nothing is known of how long the work takes, that is half of the time for which callers of the class
+// wait, so that an attempt elsewhere may take as long.
+func (r *Router) maxSilence(srv *server, class ClassID) Nanos {
+	if srv.longestWork == 0 {
+		return r.config.Classes[class].Timeout / 2
+	}
+	usual := max(r.latency.high[srv.role], 1) * float64(srv.longestWork)
+	return max(Nanos(stallFactor*usual), minStallTime)
 }
--- a/policy/latency.go
+++ b/policy/latency.go
@@ -42,12 +42,14 @@
 	return recent[int(q*float64(n-1))]
 }
 
-// latencyStats summarizes the recent latencies of first responses by role, as shares of the latency target.
+// latencyStats summarizes the recent latencies of first responses by role, as multiples of the service time of their work.
 type latencyStats struct {
 	samples    [roleCount]sampleRing
 	median     [roleCount]float64
 	high       [roleCount]float64 // high quantile
 	medianHigh [roleCount]float64 // median over the servers of each one's high quantile
+
+	attemptTime [roleCount]Nanos // how long attempts take of late; 0 if that is unknown
 }
 
 // summarizeLatencies computes the quantiles of the latencies since a time, of each server and of each role. It returns
@@ -64,6 +66,7 @@
 	for role := range roleCount {
 		r.latency.high[role] = r.latency.samples[role].quantile(since, highQuantile)
 		r.latency.median[role] = r.latency.samples[role].quantile(since, 0.5)
+		r.latency.attemptTime[role] = r.usualAttemptTime(role)
 		r.latency.medianHigh[role] = 0
 		if end > 0 {
 			r.latency.medianHigh[role] = r.medianOverServers(role, func(srv *server) float64 { return srv.highLatency })
--- a/policy/next.go
+++ b/policy/next.go
@@ -129,7 +129,7 @@
 		now+r.config.Responses.RoundInterval >= req.Deadline ||
 		req.attempts >= r.config.Attempts.MaxAttempts ||
 		!r.mayAttempt(now, req) ||
-		req.phase == awaitingPrefill && r.deadlineTooClose(now, req)
+		r.deadlineTooClose(now, req)
 }
 
 // waitOrGiveUp gives up a request that has waited too long. Otherwise it waits for a server.
@@ -142,6 +142,9 @@
 
 // pickServer returns the server for the next stage of a request, or noServer.
 func (r *Router) pickServer(now Nanos, req *requestState) int32 {
+	if !r.anyRoleAllows(now, req.phase) {
+		return noServer
+	}
 	for pass := range selectionPasses {
 		if to := r.pickServerInPass(now, req, pass); to != noServer {
 			return to
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -57,7 +57,7 @@
 // would have to leave the cell while the cell's link is overloaded.
 func (r *Router) needsOverloadedLink(now Nanos, req *requestState, c *cellState) bool {
 	staysInside := hashFraction(uint64(req.ID)) < c.localCapacity
-	return c.link.limit > 0 && !staysInside && !c.link.allows(now, r.shortestTarget)
+	return c.link.limit > 0 && !staysInside && !r.linkAllows(now, c)
 }
 
 // pickMixed returns, for a short prompt, the mixed server with the fewest streams of this dispatcher, or noServer.
@@ -81,26 +81,26 @@
 	r.findReplicas(now, req, Mixed, pass, int64(Never))
 	return r.pickLowestRank(func(i int32, srv *server) (rank, bool) {
 		admitted := srv.role == Mixed && streamCount(srv) <= maxStreams &&
-			(overloaded || srv.highLatency <= minSlowLatency)
+			(overloaded || srv.highLatency <= slowFactor)
 		distance := r.cacheDistance(now, req, i)
 		admitted = admitted && (distance < nothingCached || req.PromptTokens < shortPromptTokens)
 		return rank{distance, streamCount(srv)}, admitted && r.eligible(now, req, i, pass)
 	})
 }
 
-// prefillOverloaded reports whether no prefill server is likely to process this request's prompt in time: each is
-// being probed, has answered late, or has more tokens queued than it can process in time, as estimated by the class's
-// allowance for prompt length. This covers pools that shrink and load that this dispatcher does not see.
+// prefillOverloaded reports whether this request's prompt would queue at every prefill server: each is being probed,
+// attempts queue there, or it has more tokens queued than this prompt has. This covers pools that shrink and load that
+// this dispatcher does not see.
 func (r *Router) prefillOverloaded(now Nanos, req *requestState, pass selectionPass) bool {
-	class := &r.config.Classes[req.Class]
-	maxWait := Nanos(queuedLatency * float64(class.LatencyTarget))
+	own := float64(r.work.serviceTime(prefillStage, req.PromptTokens))
 	for i := range r.servers {
 		srv := &r.servers[i]
 		if srv.role != Prefill || srv.halfOpen || !r.eligible(now, req, int32(i), pass) {
 			continue
 		}
-		late := srv.outstanding > 0 && (srv.lastLatency > queuedLatency || now-srv.lastResponseAt > maxWait)
-		if !late && Nanos(r.backlog(now, srv))*class.LatencyTargetPer1k/1000 < maxWait {
+		late := srv.outstanding > 0 && (srv.lastQueued || hasQueued(now-srv.lastResponseAt, float64(srv.longestWork)))
+		behindQueue := r.work.serviceTime(prefillStage, r.backlog(now, srv)+req.PromptTokens)
+		if !late && !hasQueued(behindQueue, own) {
 			return false
 		}
 	}
--- a/policy/prefixindex.go
+++ b/policy/prefixindex.go
@@ -53,6 +53,17 @@
 	return 0
 }
 
+// mostTokens returns how many tokens of the prefix the server with the largest part of it is expected to have cached.
+func (h *prefixHints) mostTokens(now Nanos) int64 {
+	most := int32(0)
+	for i := range h {
+		if hint := &h[i]; hint.until > now {
+			most = max(most, hint.tokens)
+		}
+	}
+	return int64(most)
+}
+
 // sessionHintKey returns the key of the hints for the prompt of a session. A collision with the key of a shared prefix
 // is unlikely.
 func sessionHintKey(session SessionKey) uint64 { return ^uint64(session) }
--- a/policy/requestlimit.go
+++ b/policy/requestlimit.go
@@ -1,8 +1,6 @@
 package policy
 
 const (
-	// lateLatency is the share of the latency target above which the response of one of the two stages is late.
-	lateLatency = 1.0 / 2
 	// lateWeight is the weight of the last answer in the moving average of late answers. Two late ones of three are
 	// noticed.
 	lateWeight = 1.0 / 4
@@ -33,7 +31,7 @@
 	return l.limit
 }
 
-// recordAnswer records whether an answer was late or missing.
+// recordAnswer records whether an answer was missing or came too late for its caller.
 func (l *requestLimiter) recordAnswer(late bool) {
 	l.answered = true
 	l.lateShare -= l.lateShare * lateWeight
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -41,6 +41,8 @@
 	firstRunAt         Nanos // when that attempt was sent
 	heldSince          Nanos
 	reviewAt           Nanos // when it is enqueued again
+	stage              stage // of the outstanding attempt
+	workTokens         int64 // tokens that the time of the outstanding attempt depends on
 	startBy            Nanos // when the rest of it has to begin for its answer to be in time; see setUrgency
 	queueIndex         int32 // in the work queue
 	isWaiting          bool  // waits for a server
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -66,22 +66,21 @@
 	return now >= req.arrivedAt+Nanos(maxWaitShare*float64(req.latencyTarget))
 }
 
-// deadlineTooClose reports whether the deadline is before servers of median latency could begin to answer. The work
+// deadlineTooClose reports whether the deadline leaves less time than the rest of the request usually takes. The work
 // for such requests is wasted, and many of their clients retry at once.
 func (r *Router) deadlineTooClose(now Nanos, req *requestState) bool {
-	latency := (r.latency.median[Prefill] + r.latency.median[Decode]) * float64(req.latencyTarget)
-	return req.Deadline-now < Nanos(latency)
+	return r.timeLeft(now, req) < r.workLeft(now, req)
 }
 
 // attemptTimeout returns the timeout of an attempt. If attempts can be canceled, stalled servers are detected without
 // it, and it only leaves the last quarter of the remaining time for a retry. Otherwise it is the time after which a
 // server counts as stalled, at most half of the remaining time, but at least half of the latency target.
-func (r *Router) attemptTimeout(now Nanos, req *requestState, role Role) Nanos {
+func (r *Router) attemptTimeout(now Nanos, req *requestState, to int32) Nanos {
 	remaining := req.Deadline - now
 	if r.config.Attempts.CanCancel {
 		return remaining - remaining/4
 	}
-	stallTimeout := Nanos(stallFactor * max(r.latency.high[role], minStallLatency) * float64(req.latencyTarget))
+	stallTimeout := r.maxSilence(&r.servers[to], req.Class)
 	return max(min(stallTimeout, remaining/2), min(remaining, req.latencyTarget/2))
 }
 
--- a/policy/router.go
+++ b/policy/router.go
@@ -36,9 +36,10 @@
 	locality    localityIndex
 	roleLimits  [roleCount]concurrencyLimit // limits on the unanswered attempts, by role of the server
 
-	latency           latencyStats
-	transferLatencies [2]sampleRing // latencies of first responses of decode servers, by transferScope
-	throughput        throughputStats
+	latency       latencyStats
+	transferTimes [2]sampleRing // nanoseconds until first responses of decode servers, near and far
+	throughput    throughputStats
+	work          workModel
 
 	prefixes prefixIndex
 	affinity affinityLookup
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -24,7 +24,7 @@
 		return false // hard constraints: rules two, three and four
 	case now < srv.fullUntil, now < srv.ejectedUntil, now < srv.byClass[req.Class].ejectedUntil:
 		return false
-	case !r.roleLimits[srv.role].allows(now, r.shortestTarget):
+	case !r.roleAllows(now, srv.role):
 		return false
 	case pass < passAllowSuspect && (srv.halfOpen && srv.outstanding > 0 || r.stalled(now, srv, req.Class)):
 		return false
@@ -32,6 +32,24 @@
 	return pass >= passAllowAvoided || !req.avoids(i)
 }
 
+// roleAllows reports whether the limit on attempts at the servers of a role permits one more.
+func (r *Router) roleAllows(now Nanos, role Role) bool {
+	return r.roleLimits[role].allows(now, r.latency.attemptTime[role])
+}
+
+// anyRoleAllows reports whether the limit on attempts permits one more at the servers of any role that requests of a
+// phase may go to.
+func (r *Router) anyRoleAllows(now Nanos, phase phase) bool {
+	allows := func(role Role) bool { return r.counts.listed[role] > 0 && r.roleAllows(now, role) }
+	if allows(Mixed) || phase == awaitingDecode {
+		return allows(Mixed) || allows(Decode)
+	}
+	return allows(Prefill) || r.config.Attempts.DecodeCanPrefill && allows(Decode)
+}
+
+// roleStage is, for each role, the stage whose service time stands for the attempts at its servers.
+var roleStage = [roleCount]stage{Prefill: prefillStage, Decode: transferWithinCell, Mixed: combinedStage}
+
 // rank orders the servers of a selection: the lowest rank wins. Earlier elements take precedence.
 type rank [3]int64
 
--- a/policy/servers.go
+++ b/policy/servers.go
@@ -6,7 +6,7 @@
 // server holds what the router knows about one server.
 type server struct {
 	// The fields that every review and every selection read come first, within one cache line.
-	latencies    *sampleRing // of first responses, as shares of the latency target; nil = none yet
+	latencies    *sampleRing // of first responses, as multiples of the service time; nil = none yet
 	highLatency  float64     // high quantile of latencies
 	ejectedUntil Nanos
 	startedAt    Nanos // last known start; 0 = long ago
@@ -18,25 +18,25 @@
 	halfOpen     bool // after its ejection, one request at a time probes it until one succeeds
 	unreachable  bool // no connection could be established, and no attempt has succeeded since
 
-	id                 ServerID
-	zone               ZoneID
-	cell               CellID
-	goneInUpdate       uint64  // number of the list update that reported it gone
-	queuedTokens       int64   // prompt tokens sent by this dispatcher and not processed yet
-	streams            int32   // requests of this dispatcher whose answers it generates or will generate
-	lastResponseAt     Nanos   // last response, or last attempt sent while none was outstanding
-	maxPromptAllowance Nanos   // longest allowance for prompt length among the outstanding attempts
-	lastLatency        float64 // latency of the last successful first response
-	failureShare       float64 // moving average of the share of attempts that failed
-	byClass            []serverClass
-	ejectionTime       Nanos // duration of the last ejection
-	load               LoadReport
-	loadReportedAt     Nanos
-	creditStartedAt    Nanos   // startedAt when the slow-start credit was reset
-	creditedAt         Nanos   // time up to which credit has accrued
-	credit             float64 // attempts allowed since the credit was reset
-	creditSpent        float64 // attempts sent, and credit lapsed, since then
-	replicaLookup      uint64  // number of the last affinityLookup in which it was a replica
+	id              ServerID
+	zone            ZoneID
+	cell            CellID
+	goneInUpdate    uint64  // number of the list update that reported it gone
+	queuedTokens    int64   // prompt tokens sent by this dispatcher and not processed yet
+	streams         int32   // requests of this dispatcher whose answers it generates or will generate
+	lastResponseAt  Nanos   // last response, or last attempt sent while none was outstanding
+	longestWork     Nanos   // longest service time among the outstanding attempts
+	lastQueued      bool    // the last attempt with a successful first response has queued
+	failureShare    float64 // moving average of the share of attempts that failed
+	byClass         []serverClass
+	ejectionTime    Nanos // duration of the last ejection
+	load            LoadReport
+	loadReportedAt  Nanos
+	creditStartedAt Nanos   // startedAt when the slow-start credit was reset
+	creditedAt      Nanos   // time up to which credit has accrued
+	credit          float64 // attempts allowed since the credit was reset
+	creditSpent     float64 // attempts sent, and credit lapsed, since then
+	replicaLookup   uint64  // number of the last affinityLookup in which it was a replica
 }
 
 // serverClass holds what the router knows about one class of requests at a server.
@@ -99,6 +99,7 @@
 
 // serverCounts are the numbers of servers by role.
 type serverCounts struct {
+	listed     [roleCount]float64 // listed as serving, ejected or not
 	serving    [roleCount]float64 // listed as serving and not ejected
 	warming    [roleCount]float64 // those of serving that are in slow start
 	warm       [roleCount]float64 // listed as serving and not in slow start, ejected or not
@@ -127,6 +128,7 @@
 
 // countServer counts a server that is listed as serving.
 func (r *Router) countServer(now Nanos, srv *server) {
+	r.counts.listed[srv.role]++
 	warming := r.inSlowStart(now, srv)
 	if warming {
 		r.counts.validUntil = min(r.counts.validUntil, srv.startedAt+r.config.SlowStart.WarmupTime)
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -62,7 +62,7 @@
 
 // setUrgency computes when the rest of a request has to begin. It must be called before the request is enqueued or
 // waits, and not while it does.
-func (r *Router) setUrgency(_ Nanos, req *requestState) { req.startBy = req.Deadline }
+func (r *Router) setUrgency(now Nanos, req *requestState) { req.startBy = r.latestStart(now, req) }
 
 // startWaiting lets a request wait for a server until its next review, before its deadline.
 func (r *Router) startWaiting(now Nanos, req *requestState) (Decision, bool) {
