policy: a request waits as long as its caller has time for the work

What callers saw: while no server could be sent a request it was refused after an eighth of its class's latency target if it had never been sent, after half if an attempt had been decided, with seconds left, and before a server that came. Cause: waitedTooLong and waitedTooLongForFirstAttempt measured the wait by the target, and by the number of attempts. Under the request limit a request that was sent still passes: it holds its place until it is finished, so that holding it back would gain nobody anything. A held KV state bounds the wait as before, by the time within which it has to be released. Cost: under overload requests are refused later, and more of them wait.

--- a/policy/fairness_test.go
+++ b/policy/fairness_test.go
@@ -113,11 +113,11 @@
 	}
 }
 
-// run simulates requests for a duration, at a load relative to the capacity of the servers, and goes on until all
-// attempts have ended. drawOwner draws the class and tenant of a request.
+// run simulates requests for a duration, at a load relative to the capacity of the servers, and goes on until the
+// deadlines of all have passed and all attempts have ended. drawOwner draws the class and tenant of a request.
 func (f *prefillFleet) run(duration Nanos, load float64, rng *rand.Rand, drawOwner func() (ClassID, TenantID)) {
 	rate, due := load*fairnessServers*fairnessTokensPerSecond/fairnessPromptTokens, 0.0
-	for until := f.now + duration; f.now < until || len(f.pending) > 0; f.now += fairnessRound {
+	for until := f.now + duration; f.now < until+fairnessTimeout || len(f.pending) > 0; f.now += fairnessRound {
 		for len(f.pending) > 0 && f.pending[0].at <= f.now {
 			end := f.pending[0]
 			f.pending = f.pending[1:]
--- a/policy/heldstate.go
+++ b/policy/heldstate.go
@@ -30,7 +30,12 @@
 
 // heldTooLong reports whether the KV state of a request is too old to wait for a decode server.
 func (r *Router) heldTooLong(now Nanos, req *requestState) bool {
-	return now >= req.heldSince+Nanos(maxHeldShare*float64(r.config.ReleaseTime))
+	return now >= r.releaseBy(req)
+}
+
+// releaseBy returns when the KV state of a request has to be released if no decode server has been found.
+func (r *Router) releaseBy(req *requestState) Nanos {
+	return req.heldSince + Nanos(maxHeldShare*float64(r.config.ReleaseTime))
 }
 
 // releaseState returns the decision to release the KV state of a request.
--- a/policy/next.go
+++ b/policy/next.go
@@ -72,11 +72,14 @@
 	case r.shouldGiveUp(now, req):
 		return r.giveUp(now, req)
 	case req.attempts == 0 && float64(r.activeCount) >= r.requestLimit.limitFor(req.overQuota):
-		return r.waitOrGiveUp(now, req, r.waitedTooLongForFirstAttempt(now, req))
+		return r.startWaiting(now, req) // a request that was sent holds its place under the limit until it is finished
 	}
 	to := r.pickServer(now, req)
-	if to == noServer {
-		return r.waitOrGiveUp(now, req, r.waitedTooLong(now, req))
+	switch {
+	case to == noServer && req.stateHeld && r.heldTooLong(now, req):
+		return r.giveUp(now, req)
+	case to == noServer:
+		return r.startWaiting(now, req)
 	}
 	r.stopWaiting(req)
 	return r.sendAttempt(now, req, to), true
@@ -126,20 +129,12 @@
 // shouldGiveUp reports whether a request must not be sent again or could not be answered in time.
 func (r *Router) shouldGiveUp(now Nanos, req *requestState) bool {
 	return req.givenUp ||
-		now+r.config.Responses.RoundInterval >= req.Deadline ||
+		r.timeLeft(now, req) <= 0 ||
 		req.attempts >= r.config.Attempts.MaxAttempts ||
 		!r.mayAttempt(now, req) ||
 		r.deadlineTooClose(now, req)
 }
 
-// waitOrGiveUp gives up a request that has waited too long. Otherwise it waits for a server.
-func (r *Router) waitOrGiveUp(now Nanos, req *requestState, tooLong bool) (Decision, bool) {
-	if tooLong {
-		return r.giveUp(now, req)
-	}
-	return r.startWaiting(now, req)
-}
-
 // pickServer returns the server for the next stage of a request, or noServer.
 func (r *Router) pickServer(now Nanos, req *requestState) int32 {
 	if !r.anyRoleAllows(now, req.phase) {
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -1,9 +1,5 @@
 package policy
 
-// maxWaitShare is the share of the latency target for which a new request may wait to be sent. The work
-// needs the rest.
-const maxWaitShare = 1.0 / 8
-
 // mayAttempt reports whether a request may be sent. One that may have run is sent again only if it is idempotent, or
 // if the servers still recognize the repeat (rule two).
 func (r *Router) mayAttempt(now Nanos, req *requestState) bool {
@@ -50,22 +46,6 @@
 	return false
 }
 
-// waitedTooLong reports whether a request should stop waiting for an eligible server.
-func (r *Router) waitedTooLong(now Nanos, req *requestState) bool {
-	if req.stateHeld && r.heldTooLong(now, req) {
-		return true
-	}
-	if req.attempts == 0 {
-		return r.waitedTooLongForFirstAttempt(now, req)
-	}
-	return now >= req.arrivedAt+req.latencyTarget/2 // the other half is left to serve it
-}
-
-// waitedTooLongForFirstAttempt reports whether a request that was never sent should stop waiting.
-func (r *Router) waitedTooLongForFirstAttempt(now Nanos, req *requestState) bool {
-	return now >= req.arrivedAt+Nanos(maxWaitShare*float64(req.latencyTarget))
-}
-
 // deadlineTooClose reports whether the deadline leaves less time than the rest of the request usually takes. The work
 // for such requests is wasted, and many of their clients retry at once.
 func (r *Router) deadlineTooClose(now Nanos, req *requestState) bool {
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -62,15 +62,25 @@
 
 // setUrgency computes when the rest of a request has to begin. It must be called before the request is enqueued or
 // waits, and not while it does.
-func (r *Router) setUrgency(now Nanos, req *requestState) { req.startBy = r.latestStart(now, req) }
+func (r *Router) setUrgency(now Nanos, req *requestState) {
+	req.startBy = r.latestStart(now, req)
+	if req.stateHeld {
+		req.startBy = min(req.startBy, r.releaseBy(req))
+	}
+}
 
-// startWaiting lets a request wait for a server until its next review, before its deadline.
+// startWaiting lets a request wait for a server as long as its caller has time for the work.
 func (r *Router) startWaiting(now Nanos, req *requestState) (Decision, bool) {
+	if req.isWaiting && now >= req.startBy { // the work takes less long of late
+		r.stopWaiting(req)
+		r.setUrgency(now, req)
+	}
 	if !req.isWaiting {
 		req.isWaiting = true
 		r.waiting[req.phase].add(r.requests.entries, r.requests.byID[req.ID])
 	}
-	r.scheduleReview(now, req, min(now+r.reviewInterval, req.Deadline-r.config.Responses.RoundInterval))
+	r.scheduleReview(now, req, req.startBy)
+	r.reviewAt = min(r.reviewAt, now+r.reviewInterval)
 	return Decision{}, false
 }
 
