policy: a request that cannot be reached behind those before it is refused early

What callers saw: of six seconds of work whose callers had three, 29 were sent and the other 31 were refused only when their time was over, too late to turn elsewhere. Cause: a wait ended by the clock alone; what stood before a request in the order was not counted. Change: decide/pace measures the work that is sent per second while other work waits, in uncached prompt tokens. A request is refused, on arrival or at a review, when the work of those that are served before it takes longer at that pace than its caller has beside its own work. Only the times between one piece of work and the next count, so that a pause of the servers does not say that nobody has a chance after it. Cost: a pass over the waiting requests at each review.

--- /dev/null
+++ b/internal/decide/pace/pace_test.go
@@ -0,0 +1,46 @@
+package pace
+
+import "testing"
+
+const millisecond = int64(1e6)
+
+// A pause in which no server takes anything says nothing of how fast they work after it: who arrives then is not told
+// that there is no chance.
+func TestPauseIsNotCounted(t *testing.T) {
+	var m Meter
+	now := int64(0)
+	m.SetWaiting(true)
+	now += 3000 * millisecond // all servers pause while work waits
+	for range 20 {
+		m.Record(now, 1)
+		now += 10 * millisecond
+	}
+	if got := m.Wait(100); got < 900*millisecond || got > 1100*millisecond {
+		t.Errorf("work of 100 waits %d ms after a pause, want about 1000: one is done every 10 ms", got/millisecond)
+	}
+}
+
+func TestPaceIsUnknownWithoutWaiting(t *testing.T) {
+	var m Meter
+	for i := range int64(100) {
+		m.Record(i*10*millisecond, 1)
+	}
+	if m.CostPerNano() != 0 || m.Wait(5) != 0 {
+		t.Error("a pace was measured while nothing waited: it is only that of the arrivals")
+	}
+}
+
+func TestPaceFollowsTheServers(t *testing.T) {
+	var m Meter
+	m.SetWaiting(true)
+	now := int64(0)
+	for _, interval := range []int64{10 * millisecond, 40 * millisecond} {
+		for end := now + 20000*millisecond; now < end; now += interval {
+			m.Record(now, 1)
+		}
+		got, want := m.Wait(100)/millisecond, 100*interval/millisecond
+		if got < want*9/10 || got > want*11/10 {
+			t.Errorf("with one piece of work every %d ms, 100 wait %d ms, want about %d", interval/millisecond, got, want)
+		}
+	}
+}
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -30,6 +30,7 @@
 	srv := &r.servers[to]
 	srv.attemptSent(now, req.Class)
 	r.roleLimits[srv.role].attemptSent(now)
+	r.pace[req.phase].Record(int64(now), req.cost)
 	srv.creditSpent++
 	if srv.role != Prefill {
 		srv.streams++
--- a/policy/callertime_test.go
+++ b/policy/callertime_test.go
@@ -206,6 +206,55 @@
 	return -1
 }
 
+// A caller whose request cannot be reached in time learns so while it can still turn elsewhere: of six seconds of work
+// whose callers have three, the half that cannot be done is refused within the first second, not at its deadline, and
+// the rest is served.
+func TestRequestsThatCannotBeReachedAreRefusedEarly(t *testing.T) {
+	const prefillTime = 100 * ms
+	p := newCallerPlay(t, Class{LatencyTarget: 30000 * ms, Timeout: 30000 * ms})
+	p.list(Prefill, Serving, 1)
+	for id := RequestID(1); id <= 8; id++ {
+		p.arrive(id, 0, 20000*ms)
+	}
+	done := 0
+	serveNext := func() { // the server does one prefill after the other
+		p.advance(prefillTime)
+		for ; done < len(p.decisions); done++ {
+			if decision := p.decisions[done]; decision.Action == SendAttempt {
+				p.end(decision.Request, 0, Prefilled, p.now-decision.at, true)
+				done++
+				return
+			}
+		}
+	}
+	for range 8 {
+		serveNext()
+	}
+	arrivedAt := p.now
+	const first, count = RequestID(101), 60
+	for id := first; id < first+count; id++ {
+		p.arrive(id, 0, 3000*ms)
+	}
+	for range 40 {
+		serveNext()
+	}
+	early, late, sent := 0, 0, 0
+	for id := first; id < first+count; id++ {
+		rejection, rejected := p.first(RejectRequest, id)
+		switch {
+		case !rejected:
+			sent++
+		case rejection.at <= arrivedAt+1000*ms:
+			early++
+		default:
+			late++
+		}
+	}
+	if sent < 25 || late > 5 || early < 25 {
+		t.Errorf("%d sent, %d refused within a second, %d later; want 25 or more, 25 or more and 5 at most", sent, early, late)
+	}
+}
+
 // A first attempt leaves its retry the time that the work takes as seen, and takes the rest: it is not cut off while
 // its server works and there is time.
 func TestAttemptLeavesItsRetryTheTimeOfTheWork(t *testing.T) {
--- a/policy/next.go
+++ b/policy/next.go
@@ -128,7 +128,7 @@
 
 // shouldGiveUp reports whether a request must not be sent again or could not be answered in time.
 func (r *Router) shouldGiveUp(now Nanos, req *requestState) bool {
-	return req.givenUp ||
+	return req.givenUp || req.unreachable ||
 		r.timeLeft(now, req) <= 0 ||
 		req.attempts >= r.config.Attempts.MaxAttempts ||
 		!r.mayAttempt(now, req) ||
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -40,13 +40,15 @@
 	sentAt             Nanos // when the outstanding attempt was sent
 	firstRunAt         Nanos // when that attempt was sent
 	heldSince          Nanos
-	reviewAt           Nanos // when it is enqueued again
-	stage              stage // of the outstanding attempt
-	workTokens         int64 // tokens that the time of the outstanding attempt depends on
-	startBy            Nanos // when the rest of it has to begin for its answer to be in time; see setUrgency
-	queueIndex         int32 // in the work queue
-	isWaiting          bool  // waits for a server
-	latencyTarget      Nanos // including the allowance for the length of its prompt
+	reviewAt           Nanos   // when it is enqueued again
+	stage              stage   // of the outstanding attempt
+	workTokens         int64   // tokens that the time of the outstanding attempt depends on
+	startBy            Nanos   // when the rest of it has to begin for its answer to be in time; see setUrgency
+	cost               float64 // share of it in the work that waits
+	queueIndex         int32   // in the work queue
+	isWaiting          bool    // waits for a server
+	unreachable        bool    // cannot be reached in time behind the requests before it
+	latencyTarget      Nanos   // including the allowance for the length of its prompt
 }
 
 // avoid records a server that the request should not be sent to again. Only the last maxAvoidedServers are kept.
--- a/policy/review.go
+++ b/policy/review.go
@@ -22,7 +22,7 @@
 		r.locality.computeCapacities()
 	}
 	r.requestLimit.adjust(now, r.activeCount, r.shortestTarget/2)
-	r.wakeWaiting(wokenPerReview)
+	r.reviewWaiting(now)
 	r.prefixes.removeExpired(now)
 	r.prefixes.decay(max(0, 1-float64(now-previous)/cacheHintLifetime))
 }
--- a/policy/router.go
+++ b/policy/router.go
@@ -13,7 +13,11 @@
 // NextDecision is called. The package does no I/O and reads no clock. A Router is not safe for concurrent use.
 package policy
 
-import "math"
+import (
+	"math"
+
+	"docksail/internal/decide/pace"
+)
 
 // reviewsPerTarget is the number of periodic reviews within the shortest latency target.
 const reviewsPerTarget = 16
@@ -25,6 +29,7 @@
 
 	requests     requestTable
 	waiting      [waitingPhases]waitingList // by phase
+	pace         [waitingPhases]pace.Meter  // at which waiting requests are sent
 	activeCount  int32                      // requests that have been sent to a server and are not finished
 	requestLimit requestLimiter
 	quotas       []tokenBucket // by tenant
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -11,6 +11,8 @@
 	wokenPerEvent = 4
 	// wokenPerReview is the number of waiting requests that a review looks at.
 	wokenPerReview = 64
+	// requestTokens is the work of a request besides its prompt, in prompt tokens.
+	requestTokens = 256
 )
 
 // waitingList holds the requests that wait for a server, in the order in which they are served.
@@ -49,6 +51,16 @@
 	}
 }
 
+// costAhead returns the work of the requests that are served before a request.
+func (l *waitingList) costAhead(entries []requestState, slot int32) float64 {
+	end, _ := l.find(entries, slot)
+	cost := 0.0
+	for _, other := range l.slots[:end] {
+		cost += entries[other].cost
+	}
+	return cost
+}
+
 // wakeWaiting enqueues the requests that are served next, up to a number for each stage: a server may have become
 // available to them.
 func (r *Router) wakeWaiting(count int) {
@@ -67,17 +79,29 @@
 	if req.stateHeld {
 		req.startBy = min(req.startBy, r.releaseBy(req))
 	}
+	req.cost = 1
+	if req.phase == awaitingPrefill {
+		req.cost = float64(requestTokens + r.uncachedTokens(now, req))
+	}
 }
 
-// startWaiting lets a request wait for a server as long as its caller has time for the work.
+// startWaiting lets a request wait for a server, or gives it up if the work of the requests before it, at the pace at
+// which requests are sent, and its own take longer than its caller waits.
 func (r *Router) startWaiting(now Nanos, req *requestState) (Decision, bool) {
+	slot := r.requests.byID[req.ID]
+	list := &r.waiting[req.phase]
 	if req.isWaiting && now >= req.startBy { // the work takes less long of late
 		r.stopWaiting(req)
 		r.setUrgency(now, req)
 	}
 	if !req.isWaiting {
+		wait := Nanos(r.pace[req.phase].Wait(list.costAhead(r.requests.entries, slot)))
+		if now+wait > req.startBy {
+			return r.giveUp(now, req)
+		}
 		req.isWaiting = true
-		r.waiting[req.phase].add(r.requests.entries, r.requests.byID[req.ID])
+		list.add(r.requests.entries, slot)
+		r.pace[req.phase].SetWaiting(true)
 	}
 	r.scheduleReview(now, req, req.startBy)
 	r.reviewAt = min(r.reviewAt, now+r.reviewInterval)
@@ -90,5 +114,25 @@
 		return
 	}
 	req.isWaiting = false
-	r.waiting[req.phase].remove(r.requests.entries, r.requests.byID[req.ID])
+	list := &r.waiting[req.phase]
+	list.remove(r.requests.entries, r.requests.byID[req.ID])
+	r.pace[req.phase].SetWaiting(len(list.slots) > 0)
+}
+
+// reviewWaiting enqueues the requests that cannot be reached in time behind those before them, to be given up, and the
+// first ones, for which there may be a server now.
+func (r *Router) reviewWaiting(now Nanos) {
+	for i := range r.waiting {
+		perNano, ahead := r.pace[i].CostPerNano(), 0.0
+		for _, slot := range r.waiting[i].slots {
+			req := &r.requests.entries[slot]
+			if perNano > 0 && float64(req.startBy-now)*perNano < ahead {
+				req.unreachable = true
+				r.requests.enqueue(slot)
+				continue
+			}
+			ahead += req.cost
+		}
+	}
+	r.wakeWaiting(wokenPerReview)
 }
