policy: an attempt leaves a retry the time that the work takes, not a share of the time left

What callers saw: an attempt was cut off after three quarters of the time left, with two seconds of eight unused, where another attempt would have taken 0.3 s; and one that could not be cancelled after half of the time, or half of the latency target. Cause: attemptTimeout took halves and quarters of the time left and of the target. Change: the timeout leaves another attempt what the work takes as seen (workLeft). If there is no time for two, or no retry is permitted, the attempt gets all but the hand-over that follows it. Cost: where nothing has been seen yet, a hanging server is noticed by its silence alone.

--- a/policy/retries.go
+++ b/policy/retries.go
@@ -52,16 +52,22 @@
 	return r.timeLeft(now, req) < r.workLeft(now, req)
 }
 
-// attemptTimeout returns the timeout of an attempt. If attempts can be canceled, stalled servers are detected without
-// it, and it only leaves the last quarter of the remaining time for a retry. Otherwise it is the time after which a
-// server counts as stalled, at most half of the remaining time, but at least half of the latency target.
+// attemptTimeout returns the timeout of an attempt. It leaves a retry the time that the work usually takes. Where there is
+// not enough time for two, or no retry is permitted, the attempt gets all of it but what is to be done afterwards. If
+// attempts cannot be canceled, it is also the time after which a server counts as stalled.
 func (r *Router) attemptTimeout(now Nanos, req *requestState, to int32) Nanos {
-	remaining := req.Deadline - now
-	if r.config.Attempts.CanCancel {
-		return remaining - remaining/4
+	remaining, work := req.Deadline-now, r.workLeft(now, req)
+	timeout := remaining
+	if req.phase == awaitingPrefill && r.servers[to].role == Prefill {
+		timeout -= r.handOverTime(req.PromptTokens)
 	}
-	stallTimeout := r.maxSilence(&r.servers[to], req.Class)
-	return max(min(stallTimeout, remaining/2), min(remaining, req.latencyTarget/2))
+	if remaining >= 2*work && r.mayRetryAfterCancel(req) {
+		timeout = remaining - work
+	}
+	if !r.config.Attempts.CanCancel {
+		timeout = min(timeout, r.maxSilence(&r.servers[to], req.Class))
+	}
+	return timeout
 }
 
 // giveUp ends a request: it first releases a held KV state, then gives the final answer. This is a failure if the
