policy: a request whose KV state no decode server took is read again while there is time

What callers saw: a request whose prompt had been read was refused after 0.3 s with 4.7 s left, when no decode server had been found within the time for which its KV state may be held. Cause: the end of the state's time was taken for the end of the request's. Its prompt is read again only once there is a decode server for it, so that no prefill is repeated in vain, and the request limit counts the lost prefill as an answer that came too late. Cost: another prefill for such a request, within max attempts.

--- a/policy/heldstate.go
+++ b/policy/heldstate.go
@@ -38,6 +38,17 @@
 	return req.heldSince + Nanos(maxHeldShare*float64(r.config.ReleaseTime))
 }
 
+// releaseToReadAnew releases the KV state of a request for which no decode server has been found in time. While its
+// caller waits, its prompt is read again once there is a decode server.
+func (r *Router) releaseToReadAnew(now Nanos, req *requestState) (Decision, bool) {
+	r.stopWaiting(req)
+	r.requestLimit.recordAnswer(true)
+	req.phase, req.awaitsDecodeServer = awaitingPrefill, true
+	decision, ok := r.releaseState(req)
+	r.setUrgency(now, req)
+	return decision, ok
+}
+
 // releaseState returns the decision to release the KV state of a request.
 func (r *Router) releaseState(req *requestState) (Decision, bool) {
 	req.stateHeld = false
--- a/policy/next.go
+++ b/policy/next.go
@@ -77,7 +77,7 @@
 	to := r.pickServer(now, req)
 	switch {
 	case to == noServer && req.stateHeld && r.heldTooLong(now, req):
-		return r.giveUp(now, req)
+		return r.releaseToReadAnew(now, req)
 	case to == noServer:
 		return r.startWaiting(now, req)
 	}
@@ -153,6 +153,9 @@
 	if req.phase == awaitingDecode {
 		return r.pickDecode(now, req, pass)
 	}
+	if req.awaitsDecodeServer && !r.hasEligibleDecodeServer(now, req, pass) {
+		return noServer
+	}
 	if to := r.pickMixed(now, req, pass); to != noServer {
 		return to
 	}
--- a/policy/selection.go
+++ b/policy/selection.go
@@ -47,6 +47,16 @@
 	return allows(Prefill) || r.config.Attempts.DecodeCanPrefill && allows(Decode)
 }
 
+// hasEligibleDecodeServer reports whether a server may be sent the answer of a request now.
+func (r *Router) hasEligibleDecodeServer(now Nanos, req *requestState, pass selectionPass) bool {
+	for i := range r.servers {
+		if r.servers[i].role != Prefill && r.eligible(now, req, int32(i), pass) {
+			return true
+		}
+	}
+	return false
+}
+
 // roleStage is, for each role, the stage whose service time stands for the attempts at its servers.
 var roleStage = [roleCount]stage{Prefill: prefillStage, Decode: transferWithinCell, Mixed: combinedStage}
 
