policy: Retry-After follows the work that waits, not the latency target

What callers saw: a client of a class with a target of 0.2 s was asked to come back after 0.1 s and one with 9 s after 4.5 s, for the same fleet and the same queue. Cause: giveUp took half of the latency target for the length of a burst. Evidence: TestRetryAfterFollowsTheWorkThatWaits, seen failing with 100 and 4500 ms. Cost: a pass over the waiting requests for each rejection.

--- a/policy/callertime_test.go
+++ b/policy/callertime_test.go
@@ -255,6 +255,33 @@
 	}
 }
 
+// A client that is refused comes back when there may be room: once the work that waits is done, at the pace seen. That
+// is so for each class alike.
+func TestRetryAfterFollowsTheWorkThatWaits(t *testing.T) {
+	p := newCallerPlay(t, Class{LatencyTarget: 200 * ms, Timeout: 30000 * ms},
+		Class{LatencyTarget: 9000 * ms, Timeout: 30000 * ms})
+	p.arrive(1, 0, 5*ms)
+	p.arrive(2, 1, 5*ms)
+	p.advance(10 * ms)
+	for id := RequestID(1); id <= 2; id++ {
+		if rejection, ok := p.first(RejectRequest, id); !ok || rejection.Duration != defaultRetryAfter {
+			t.Errorf("request %d: Retry-After of %d ms (%v), want %d: nothing is known", id, rejection.Duration/ms, ok,
+				defaultRetryAfter/ms)
+		}
+	}
+	p.router.pace[awaitingPrefill].SetWaiting(true)
+	for range 20 { // a prompt of 500 tokens is sent every 100 ms
+		p.router.pace[awaitingPrefill].Record(int64(p.now), 500+requestTokens)
+		p.advance(100 * ms)
+	}
+	for id := RequestID(101); id <= 140; id++ {
+		p.arrive(id, 0, 20000*ms)
+	}
+	if got := p.router.RetryAfter(); got < 3600*ms || got > 4400*ms {
+		t.Errorf("Retry-After of %d ms behind 40 prompts that take 100 ms each, want about 4000", got/ms)
+	}
+}
+
 // A first attempt leaves its retry the time that the work takes as seen, and takes the rest: it is not cut off while
 // its server works and there is time.
 func TestAttemptLeavesItsRetryTheTimeOfTheWork(t *testing.T) {
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -84,8 +84,7 @@
 	}
 	retryAfter := Nanos(0)
 	if r.config.Responses.SendRetryAfter {
-		target := r.config.Classes[req.Class].LatencyTarget
-		retryAfter = min(target/2, r.config.Responses.MaxRetryAfter) // about as long as a burst of load
+		retryAfter = r.RetryAfter()
 	}
 	return Decision{Action: RejectRequest, Request: req.ID, Duration: retryAfter}, true
 }
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -11,6 +11,8 @@
 	wokenPerEvent = 4
 	// wokenPerReview is the number of waiting requests that a review looks at.
 	wokenPerReview = 64
+	// defaultRetryAfter is the Retry-After while no pace is known.
+	defaultRetryAfter = Nanos(500e6)
 	// requestTokens is the work of a request besides its prompt, in prompt tokens.
 	requestTokens = 256
 )
@@ -136,3 +138,17 @@
 	}
 	r.wakeWaiting(wokenPerReview)
 }
+
+// RetryAfter returns when the client of a rejected request may find room: once the work of the requests that wait now
+// is done, at the pace at which requests are sent.
+func (r *Router) RetryAfter() Nanos {
+	wait := defaultRetryAfter
+	for i := range r.waiting {
+		cost := 0.0
+		for _, slot := range r.waiting[i].slots {
+			cost += r.requests.entries[slot].cost
+		}
+		wait = max(wait, Nanos(r.pace[i].Wait(cost)))
+	}
+	return min(wait, r.config.Responses.MaxRetryAfter)
+}
