policy: windows, pauses and ejections have lengths of their own, not the shortest latency target's

What callers saw: one class with a target of 0.2 s made the router forget what it had seen of all servers after 1.6 s instead of 8, eject for 0.1 s instead of 0.5, adjust the request limit five times as often and count load reports as old: other classes' requests went to bad servers. Cause: all lengths were multiples of the shortest latency target of all classes. Change: named lengths (latencyWindow, transferWindow, loadReportLifetime, limitInterval, minEjectionTime, maxReviewInterval, fullServerPause), each with what it has to cover. They are those that a shortest target of one second gave, the pause after a rejection 100 ms. No decision of policy reads a latency target or a value any more. Cost: an operator whose targets are much shorter can no longer speed up these windows by them.

--- a/policy/config.go
+++ b/policy/config.go
@@ -19,8 +19,8 @@
 	ReleaseTime Nanos // longest time for which a KV state may be held for a request
 }
 
-// Class describes one class of requests. Timeout, Value, LateValue and InterTokenTarget are for the router's callers;
-// decisions do not depend on them.
+// Class describes one class of requests. The targets and values say what an answer is worth, not how long the work
+// takes: they are for the router's callers, and decisions do not depend on them.
 type Class struct {
 	LatencyTarget      Nanos   // time within which the first token should arrive ...
 	LatencyTargetPer1k Nanos   // ... plus this time for each 1,000 prompt tokens
--- a/policy/decode.go
+++ b/policy/decode.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// transferWindow is the time for which a transfer says how fast the links are.
+	transferWindow = Nanos(4e9)
 	// minSlowTransfer is the time up to which no transfer between cells is slow: another decode server would hardly
 	// begin the answer earlier.
 	minSlowTransfer = Nanos(150e6)
@@ -101,7 +103,7 @@
 // remoteTransfersSlow reports whether transfers of KV state between cells take far longer than those within a cell,
 // and long enough to matter. Only recent transfers count.
 func (r *Router) remoteTransfersSlow(now Nanos) bool {
-	since := now - 4*r.shortestTarget
+	since := now - transferWindow
 	far := r.transferTimes[farTransfer].quantile(since, 0.5)
 	return far > float64(minSlowTransfer) &&
 		far > affinityYieldFactor*r.transferTimes[nearTransfer].quantile(since, 0.5)
--- a/policy/ejection.go
+++ b/policy/ejection.go
@@ -11,6 +11,11 @@
 	// minStallTime is the silence up to which no server is stalled: a lost packet is sent again after 200 ms, and the
 	// response still takes its time.
 	minStallTime = Nanos(300e6)
+	// minEjectionTime is the duration of a first ejection. A server that answers again is soon found by the probe.
+	minEjectionTime = Nanos(500e6)
+	// fullServerPause is the time for which a server that has rejected a request gets no other: some of its requests
+	// will have ended.
+	fullServerPause = Nanos(100e6)
 	// minUnansweredToCancel is the minimum number of unanswered attempts at a stalled prefill server for them to be
 	// canceled. Fewer may only have queued.
 	minUnansweredToCancel = 6
@@ -45,7 +50,7 @@
 	case Rejected:
 		r.requestLimit.recordAnswer(true)
 		r.roleLimits[srv.role].adjust(true, r.counts.serving[srv.role], r.config.Self.Count)
-		srv.fullUntil = now + req.latencyTarget/8
+		srv.fullUntil = now + fullServerPause
 		return
 	case NotSent, StateMissing, StaleConnection: // say nothing about the server's health
 		return
@@ -119,7 +124,7 @@
 	if now > srv.ejectedUntil+ejectionResetFactor*srv.ejectionTime {
 		srv.ejectionTime = 0
 	}
-	srv.ejectionTime = min(max(2*srv.ejectionTime, r.shortestTarget/2), r.maxEjectionTime())
+	srv.ejectionTime = min(max(2*srv.ejectionTime, minEjectionTime), r.maxEjectionTime())
 	srv.ejectedUntil, srv.halfOpen, r.counts.stale = now+srv.ejectionTime, true, true
 	srv.forgetLatencies()
 	r.ejections = append(r.ejections, Ejection{srv.id, NoClass, reason, srv.ejectionTime})
@@ -127,7 +132,7 @@
 
 // maxEjectionTime returns the longest duration of an ejection.
 func (r *Router) maxEjectionTime() Nanos {
-	return max(r.config.SlowStart.WarmupTime, r.shortestTarget)
+	return max(r.config.SlowStart.WarmupTime, 2*minEjectionTime)
 }
 
 // tooManyEjected reports whether no further outlier of a stage may be ejected. Decode and mixed servers are one stage.
@@ -155,10 +160,10 @@
 	}
 	// An ejection shorter than the time between two answers would have no effect.
 	answerInterval := r.throughput.answerInterval(srv.role, r.config.SlowStart.OverloadWindow)
-	c.ejectionTime = min(max(2*c.ejectionTime, r.shortestTarget/2, answerInterval), r.maxEjectionTime())
+	c.ejectionTime = min(max(2*c.ejectionTime, minEjectionTime, answerInterval), r.maxEjectionTime())
 	c.ejectedUntil, srv.halfOpen = now+c.ejectionTime, true
 	if srv.lastResponseAt <= req.sentAt {
-		srv.ejectedUntil, r.counts.stale = max(srv.ejectedUntil, now+r.shortestTarget/2), true
+		srv.ejectedUntil, r.counts.stale = max(srv.ejectedUntil, now+minEjectionTime), true
 	}
 	r.ejections = append(r.ejections, Ejection{srv.id, req.Class, EjectedSilent, c.ejectionTime})
 }
--- a/policy/latency.go
+++ b/policy/latency.go
@@ -3,8 +3,8 @@
 import "slices"
 
 const (
-	// latencyWindowTargets is the length, in shortest latency targets, of the window that quantiles are computed over.
-	latencyWindowTargets = 8
+	// latencyWindow is the length of the window that quantiles are computed over.
+	latencyWindow = Nanos(8e9)
 	// highQuantile is the quantile of latencies that servers are compared by. It ignores one slow request in ten.
 	highQuantile = 0.9
 	// sampleRingSize is the number of samples that a sampleRing keeps.
--- a/policy/next.go
+++ b/policy/next.go
@@ -100,6 +100,7 @@
 
 // decideOutstanding decides about a request that has an outstanding attempt without a response yet.
 func (r *Router) decideOutstanding(now Nanos, req *requestState) (Decision, bool) {
+	// The grace is the platform's; half of it is left for the final answer to reach the client.
 	finalAnswerAt := req.Deadline + r.config.Responses.DeadlineGrace/2
 	if now >= finalAnswerAt { // the final answer is given even if the outcome never comes
 		return r.giveUp(now, req)
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -3,9 +3,8 @@
 const (
 	// shortPromptTokens is the number of uncached prompt tokens below which a prompt is short (docs/design.md).
 	shortPromptTokens = 2000
-	// loadReportLifetimeTargets is the time, in shortest latency targets, in which the weight of a load report falls
-	// to 0.
-	loadReportLifetimeTargets = 8
+	// loadReportLifetime is the time in which the weight of a load report falls to 0.
+	loadReportLifetime = Nanos(8e9)
 	// overloadedLinkPenalty is added to the cache distance of servers whose KV state would cross an overloaded link.
 	// It exceeds all cache distances.
 	overloadedLinkPenalty = 3
@@ -14,7 +13,7 @@
 // backlog returns the load of a prefill server: the prompt tokens that this dispatcher has queued there, and those of
 // the server's last report, which lose weight with its age.
 func (r *Router) backlog(now Nanos, srv *server) int64 {
-	age := float64(now-srv.loadReportedAt) / float64(loadReportLifetimeTargets*r.shortestTarget)
+	age := float64(now-srv.loadReportedAt) / float64(loadReportLifetime)
 	if srv.load.QueuedPromptTokens > 0 && age < 1 {
 		return srv.queuedTokens + int64(srv.load.QueuedPromptTokens*(1-age))
 	}
--- a/policy/requestlimit.go
+++ b/policy/requestlimit.go
@@ -1,6 +1,8 @@
 package policy
 
 const (
+	// limitInterval is the time between two adjustments of the limit, in which the last one takes effect.
+	limitInterval = Nanos(500e6)
 	// lateWeight is the weight of the last answer in the moving average of late answers. Two late ones of three are
 	// noticed.
 	lateWeight = 1.0 / 4
@@ -43,7 +45,7 @@
 // adjust adapts the limit: it decreases while many answers are late or missing, and otherwise grows while more than
 // half of it is in use. It guards against overload, whether load has grown or capacity has shrunk. It can do harm if
 // answers are late for a reason other than load.
-func (l *requestLimiter) adjust(now Nanos, activeCount int32, interval Nanos) {
+func (l *requestLimiter) adjust(now Nanos, activeCount int32) {
 	if now < l.adjustAt {
 		return
 	}
@@ -53,7 +55,7 @@
 	} else if active > l.limit/2 {
 		l.limit += limitIncreaseShare*l.limit + 1
 	}
-	l.answered, l.adjustAt = false, now+interval
+	l.answered, l.adjustAt = false, now+limitInterval
 }
 
 // tokenBucket measures whether a tenant is within its quota. It fills at the rate of the quota, up to the tokens of
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -49,7 +49,6 @@
 	isWaiting          bool    // waits for a server
 	awaitsDecodeServer bool    // a state was released for want of a decode server: its prompt is read again once there is one
 	unreachable        bool    // cannot be reached in time behind the requests before it
-	latencyTarget      Nanos   // including the allowance for the length of its prompt
 }
 
 // avoid records a server that the request should not be sent to again. Only the last maxAvoidedServers are kept.
@@ -127,9 +126,8 @@
 // RejectRequest or FailRequest decision.
 func (r *Router) RequestArrived(now Nanos, request Request) {
 	slot := r.requests.add(request)
-	req, class := &r.requests.entries[slot], &r.config.Classes[request.Class]
+	req := &r.requests.entries[slot]
 	req.arrivedAt = now
-	req.latencyTarget = class.LatencyTarget + class.LatencyTargetPer1k*Nanos(req.PromptTokens)/1000
 	if request.Tenant >= 0 {
 		perSecond := r.config.Tenants[request.Tenant].RequestsPerSecond / float64(r.config.Self.Count)
 		req.overQuota = !r.quotas[request.Tenant].take(now, perSecond)
--- a/policy/review.go
+++ b/policy/review.go
@@ -12,7 +12,7 @@
 	r.reviewRequests(now)
 	previous := r.reviewedAt
 	r.reviewedAt = now
-	measuredCount := r.summarizeLatencies(now - latencyWindowTargets*r.shortestTarget)
+	measuredCount := r.summarizeLatencies(now - latencyWindow)
 	recounted := r.countServers(now)
 	settings := &r.config.SlowStart
 	decayTime := 2 * settings.WarmupTime // longer than any slow start
@@ -21,7 +21,7 @@
 	if r.countServers(now) || recounted { // servers have been ejected, or the fleet has changed
 		r.locality.computeCapacities()
 	}
-	r.requestLimit.adjust(now, r.activeCount, r.shortestTarget/2)
+	r.requestLimit.adjust(now, r.activeCount)
 	r.reviewWaiting(now)
 	r.prefixes.removeExpired(now)
 	r.prefixes.decay(max(0, 1-float64(now-previous)/cacheHintLifetime))
--- a/policy/router.go
+++ b/policy/router.go
@@ -19,13 +19,16 @@
 	"docksail/internal/decide/pace"
 )
 
-// reviewsPerTarget is the number of periodic reviews within the shortest latency target.
-const reviewsPerTarget = 16
+const (
+	// reviewsPerRelease is the number of periodic reviews within the time for which a KV state may be held.
+	reviewsPerRelease = 16
+	// maxReviewInterval is the longest time between two periodic reviews while requests wait.
+	maxReviewInterval = Nanos(60e6)
+)
 
 // Router makes the decisions of one dispatcher. It shares no state with the routers of other dispatchers.
 type Router struct {
-	config         Config
-	shortestTarget Nanos // shortest latency target of all classes; observations of servers expire in multiples of it
+	config Config
 
 	requests     requestTable
 	waiting      [waitingPhases]waitingList // by phase
@@ -66,21 +69,16 @@
 	if err := config.validate(); err != nil {
 		return nil, err
 	}
-	shortestTarget := Never
-	for _, class := range config.Classes {
-		shortestTarget = min(shortestTarget, class.LatencyTarget)
-	}
-	shortestWait := min(config.ReleaseTime, shortestTarget)
+	reviewInterval := min(config.ReleaseTime/reviewsPerRelease, maxReviewInterval)
 	r := &Router{
 		config:         config,
-		shortestTarget: shortestTarget,
 		requests:       newRequestTable(),
 		requestLimit:   requestLimiter{limit: math.MaxInt32},
 		quotas:         make([]tokenBucket, len(config.Tenants)),
 		serverIndex:    make(map[ServerID]int32),
 		locality:       newLocalityIndex(),
 		prefixes:       newPrefixIndex(),
-		reviewInterval: max(shortestWait/reviewsPerTarget, config.Responses.RoundInterval, 1),
+		reviewInterval: max(reviewInterval, config.Responses.RoundInterval, 1),
 		reviewAt:       Never,
 		timerAt:        Never,
 		watching:       !config.Discovery.OnRequest,
