serve: a request waits in the admission queue as long as its caller has time for the work

What callers saw: with eight seconds left a request was rejected after 0.1 s (target 0.2 s), 0.5 s (1 s) or 4 s (20 s); one with less time than the work takes was admitted in vain. Cause: latestAdmission took half of the latency objective, or of the time left if that was less. Change: the module says what the work usually takes (policy.Router.Estimate, the one estimate), the dispatcher hands it to the queue, and a request may be admitted until its deadline less that time. The rejection on arrival ('no chance to be in time') is measured against the same. Cost: under overload more requests wait, up to requests_waiting.

--- a/internal/backend/platform/harness_test.go
+++ b/internal/backend/platform/harness_test.go
@@ -71,6 +71,10 @@
 ) {
 }
 
+func (m *scriptedModule) Estimate(policy.Nanos, policy.Request) policy.Estimate {
+	return policy.Estimate{}
+}
+
 func (m *scriptedModule) NextDecision(policy.Nanos) (policy.Decision, bool) {
 	if len(m.decisions) == 0 {
 		return policy.Decision{}, false
--- a/internal/decide/admission/fairqueue.go
+++ b/internal/decide/admission/fairqueue.go
@@ -7,10 +7,6 @@
 const (
 	// reservedCapacityFraction is the fraction of the queue that is kept free for requests with a reservation.
 	reservedCapacityFraction = 1.0 / 8
-	// maxWaitFraction is the fraction of a request's latency objective, or of the time until its deadline if that is
-	// shorter, within which it must be admitted. The rest is left for the prefill, and
-	// a later answer is worth little.
-	maxWaitFraction = 0.5
 	// clientRetention is how long a client is remembered after its last served request, in latency objectives.
 	clientRetention = 600
 )
@@ -92,10 +88,8 @@
 	return q.tenants[number]
 }
 
-// latestAdmission returns the time from which it is too late to admit a request that arrives now.
-func latestAdmission(now Nanos, request *Request) Nanos {
-	return now + Nanos(maxWaitFraction*float64(min(request.LatencyObjective, request.Deadline-now)))
-}
+// latestAdmission returns the time from which it is too late to admit a request: its caller has no time for the work.
+func latestAdmission(request *Request) Nanos { return request.Deadline - request.Work }
 
 // enqueue adds a request, or rejects it and returns when its client should retry.
 func (q *fairQueue) enqueue(now Nanos, request *Request) (Verdict, RetryAdvice) {
@@ -170,7 +164,7 @@
 	if victim.request == nil && victim.reason != Queued {
 		return victim, victim.reason
 	}
-	if !reserved && q.estimatedWait(now, t, f, request.cost) > latestAdmission(now, request.Request)-now {
+	if !reserved && q.estimatedWait(now, t, f, request.cost) > latestAdmission(request.Request)-now {
 		return victim, TooLate
 	}
 	return victim, Queued
@@ -192,7 +186,7 @@
 	queued := q.newQueuedRequest()
 	*queued = queuedRequest{
 		Request: *request.Request, cost: request.cost, enqueuedAt: now, flow: f, dueAt: now + request.LatencyObjective,
-		sequence: q.nextSequence(), hasReservation: reserved, admitBy: latestAdmission(now, request.Request),
+		sequence: q.nextSequence(), hasReservation: reserved, admitBy: latestAdmission(request.Request),
 	}
 	queued.Ticket = nil
 	if q.fifo || reserved { // a request with a reservation has already waited at its client
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	RequestCanceled(now policy.Nanos, id policy.RequestID)
 	StateHeldSince(now policy.Nanos, id policy.RequestID, since policy.Nanos)
 	TimerFired(now policy.Nanos)
+	Estimate(now policy.Nanos, request policy.Request) policy.Estimate
 	NextDecision(now policy.Nanos) (policy.Decision, bool)
 }
 
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -38,6 +38,10 @@
 
 func (m *scriptedModule) StateHeldSince(policy.Nanos, policy.RequestID, policy.Nanos) {}
 
+func (m *scriptedModule) Estimate(policy.Nanos, policy.Request) policy.Estimate {
+	return policy.Estimate{}
+}
+
 func (m *scriptedModule) NextDecision(policy.Nanos) (policy.Decision, bool) {
 	if len(m.decisions) == 0 {
 		return policy.Decision{}, false
--- a/internal/dispatch/queuedadmission.go
+++ b/internal/dispatch/queuedadmission.go
@@ -117,7 +117,7 @@
 		ID: admission.RequestID(arrival.id), Tenant: max(int(arrival.tenant), 0),
 		Client: a.hashName(arrival.tenant, r.Client), Source: a.hashName(-1, r.Source[:]),
 		PromptTokens: r.PromptTokens, MaxAnswerTokens: r.MaxTokens, Background: r.Background,
-		LatencyObjective: arrival.latencyTarget, Deadline: arrival.deadline,
+		LatencyObjective: arrival.latencyTarget, Deadline: arrival.deadline, Work: arrival.work,
 	}
 	if r.Ticket != nil && a.signer != nil {
 		if ticket, err := a.signer.Decode(r.Ticket); err == nil {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -33,8 +33,10 @@
 		req.memory = d.memory.NewAccount(memory.Requests)
 	}
 	deadline := now + timeLeft
+	policyRequest := d.policyRequest(id, class, tenant, r, d.ModuleTime(deadline))
 	queueRequest, err := d.admission.enqueue(now, arrival{
 		request: r, id: id, tenant: tenant, deadline: deadline, latencyTarget: latencyTarget,
+		work: int64(d.module.Estimate(d.ModuleTime(now), policyRequest).Work),
 	})
 	if err != nil {
 		d.requests.Remove(id)
@@ -43,7 +45,7 @@
 	d.Counts.Requests++
 	req.reset(d, id, class, response, r, now)
 	req.queueRequest = queueRequest
-	req.policyRequest = d.policyRequest(id, class, tenant, r, d.ModuleTime(deadline))
+	req.policyRequest = policyRequest
 	d.loop.SetTimer(&req.answerTimer, deadline+intake.OverdueMarginNanos, req.onAnswerDeadline)
 	d.admission.enqueued(now, req)
 	return id, nil
--- a/internal/lab/baselinepolicy/policy.go
+++ b/internal/lab/baselinepolicy/policy.go
@@ -75,3 +75,8 @@
 	p.decisions = p.decisions[1:]
 	return d, true
 }
+
+// Estimate returns no estimate of the work: these policies have none.
+func (p *Policy) Estimate(policy.Nanos, policy.Request) policy.Estimate {
+	return policy.Estimate{RetryAfter: retryDelay}
+}
--- a/policy/work.go
+++ b/policy/work.go
@@ -127,6 +127,18 @@
 	return r.prefillTime(r.uncachedTokens(now, req)) + handOver
 }
 
+// Estimate is what the router expects of the work of a request that has not arrived yet.
+type Estimate struct {
+	Work       Nanos // until its answer begins, as it usually takes of late; 0 if that is unknown
+	RetryAfter Nanos // when its client may find room if it is rejected
+}
+
+// Estimate estimates the work of a request. Admission and intake decide by it, as the router does.
+func (r *Router) Estimate(now Nanos, request Request) Estimate {
+	req := requestState{Request: request}
+	return Estimate{Work: r.workLeft(now, &req), RetryAfter: r.RetryAfter()}
+}
+
 // prefillTime returns how long the processing of uncached prompt tokens usually takes.
 func (r *Router) prefillTime(tokens int64) Nanos {
 	if r.counts.serving[Prefill] == 0 && r.counts.serving[Mixed] > 0 {
