serve: a client's requests are admitted in the order in which their work has to begin

What callers saw: of two requests of one client the one with eight seconds left and a short target was admitted before the one with three seconds and a long target. Cause: dueAt was the arrival plus the latency objective. Change: the order within a flow is that of the latest admission: deadline less work.

--- a/internal/decide/admission/fairqueue.go
+++ b/internal/decide/admission/fairqueue.go
@@ -185,10 +185,10 @@
 	f := q.findOrAddFlow(now, t, request.Request)
 	queued := q.newQueuedRequest()
 	*queued = queuedRequest{
-		Request: *request.Request, cost: request.cost, enqueuedAt: now, flow: f, dueAt: now + request.LatencyObjective,
+		Request: *request.Request, cost: request.cost, enqueuedAt: now, flow: f,
 		sequence: q.nextSequence(), hasReservation: reserved, admitBy: latestAdmission(request.Request),
 	}
-	queued.Ticket = nil
+	queued.Ticket, queued.dueAt = nil, queued.admitBy
 	if q.fifo || reserved { // a request with a reservation has already waited at its client
 		queued.dueAt = now
 	}
