serve: the admission queue measures its pace as the router does, and no pause

Cause: the throughput was the cost sent divided by the time in which requests waited; that of the pause counted, so the first pieces sent after it looked like a very slow fleet. Change: decide/pace, which policy uses, counts the time from one piece sent to the next; admission's own meter is gone (the logic stood twice). Evidence: TestPauseOfServersTellsNobodyThatThereIsNoChance, seen failing with 7 of 70 rejected.

--- a/internal/decide/admission/fairqueue.go
+++ b/internal/decide/admission/fairqueue.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"docksail/internal/decide/pace"
 	"docksail/internal/indexedheap"
 )
 
@@ -27,7 +28,7 @@
 	waitingCost       float64
 
 	clients      knownClients
-	throughput   throughputMeter
+	throughput   pace.Meter // of the cost that is sent while requests wait
 	reservations *reservationTable
 
 	lastSequence  uint64 // last sequence number given to a request or a flow
@@ -71,7 +72,6 @@
 		requests:         make(map[RequestID]*queuedRequest),
 		byExpiry:         newExpiryHeap(),
 		clients:          newKnownClients(config.MaxKnownClients),
-		throughput:       throughputMeter{timeConstant: throughputTimeConstant * config.LatencyObjective},
 		reservations:     newReservationTable(config.Signer, config.LatencyObjective),
 	}
 }
@@ -164,7 +164,7 @@
 	if victim.request == nil && victim.reason != Queued {
 		return victim, victim.reason
 	}
-	if !reserved && q.estimatedWait(now, t, f, request.cost) > latestAdmission(request.Request)-now {
+	if !reserved && q.estimatedWait(t, f, request.cost) > latestAdmission(request.Request)-now {
 		return victim, TooLate
 	}
 	return victim, Queued
@@ -192,9 +192,7 @@
 	if q.fifo || reserved { // a request with a reservation has already waited at its client
 		queued.dueAt = now
 	}
-	if q.waitingCost <= 0 {
-		q.throughput.start(now)
-	}
+	q.throughput.SetWaiting(true)
 	q.requests[request.ID] = queued
 	q.byExpiry.PushOrFix(queued)
 	q.waitingCost += request.cost
@@ -220,7 +218,7 @@
 	delete(q.requests, queued.ID)
 	if len(q.requests) == 0 {
 		q.waitingCost = 0
-		q.throughput.stop(now)
+		q.throughput.SetWaiting(false)
 	}
 	q.freeRequests = append(q.freeRequests, queued)
 	q.updateFlow(f)
--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -176,7 +176,7 @@
 // RecordSent records that an admitted request was sent to a server. The throughput behind the queue is measured by
 // these calls.
 func (q *Queue) RecordSent(now Nanos, request Request) {
-	q.interactive.throughput.record(now, EstimatedCost(request.PromptTokens, request.MaxAnswerTokens))
+	q.interactive.throughput.Record(now, EstimatedCost(request.PromptTokens, request.MaxAnswerTokens))
 	q.unsentLimit = min(q.unsentLimit+unsentIncrease, maxUnsent)
 }
 
--- a/internal/decide/admission/queue_test.go
+++ b/internal/decide/admission/queue_test.go
@@ -307,3 +307,30 @@
 		}
 	}
 }
+
+// TestPauseOfServersTellsNobodyThatThereIsNoChance checks that after a pause of all servers, in which requests waited,
+// the pace of what is sent then is measured, not that of the pause: arrivals that will be served in time are admitted.
+func TestPauseOfServersTellsNobodyThatThereIsNoChance(t *testing.T) {
+	q, now := newQueue(t, 1000, TenantLimits{Weight: 1}), Nanos(0)
+	arrive := func() Verdict {
+		request := newRequest(0, 0, 100)
+		request.Deadline = now + 5*sec
+		verdict, _ := q.Enqueue(now, request)
+		return verdict
+	}
+	for range 20 {
+		arrive()
+	}
+	now += 3 * sec // no server takes a request
+	rejected := 0
+	for range 70 { // then one is sent every 10 ms, and as many arrive
+		now += 10 * ms
+		sendNext(q, now)
+		if arrive() != Queued {
+			rejected++
+		}
+	}
+	if rejected > 0 {
+		t.Errorf("%d of 70 requests rejected with 5 s left, behind 20 that are sent in 0.2 s", rejected)
+	}
+}
--- a/internal/decide/admission/reservations.go
+++ b/internal/decide/admission/reservations.go
@@ -144,7 +144,7 @@
 func (q *fairQueue) reserveRetry(
 	now Nanos, t *tenant, request pricedRequest, reason Verdict, minDelay Nanos,
 ) RetryAdvice {
-	throughput := q.throughput.costPerNano(now)
+	throughput := q.throughput.CostPerNano()
 	notBefore := now + minDelay
 	if throughput <= 0 {
 		notBefore = max(notBefore, now+Nanos(defaultRetryFraction*float64(q.latencyObjective)))
@@ -157,7 +157,7 @@
 		return RetryAdvice{RetryAfter: max(notBefore-now, 1)}
 	}
 	if reason != TenantRateExceeded { // only requests ahead of it in its flow delay it, not all that wait
-		wait := q.estimatedWait(now, t, q.findFlow(now, t, request.Request), request.cost)
+		wait := q.estimatedWait(t, q.findFlow(now, t, request.Request), request.cost)
 		notBefore = max(notBefore, now+min(wait, q.reservations.horizon()/2))
 	}
 	key, weight := q.clientKey(now, t, request.Request)
--- /dev/null
+++ b/internal/decide/admission/wait.go
@@ -0,0 +1,38 @@
+package admission
+
+// estimatedWait returns how long a new request of the given cost would wait in flow f of tenant t: the time in which
+// it and the requests ahead of it in its flow are admitted at the flow's share of the throughput, or in which all
+// waiting requests are admitted if that is less. It returns 0 without a measurement of the throughput. f is nil if the
+// flow does not exist yet.
+func (q *fairQueue) estimatedWait(t *tenant, f *flow, cost float64) Nanos {
+	throughput := q.throughput.CostPerNano()
+	if throughput <= 0 || len(q.requests) == 0 {
+		return 0
+	}
+	flowCost, flowWeight := cost, 1.0
+	if f != nil {
+		flowWeight = f.weight
+		for _, queued := range f.requests.Items() {
+			flowCost += queued.cost
+		}
+	}
+	otherFlowWeights := 0.0
+	for _, other := range t.activeFlows.Items() {
+		if other != f {
+			otherFlowWeights += other.weight
+		}
+	}
+	share := t.Weight / q.competingWeights(t) * flowWeight / (otherFlowWeights + flowWeight)
+	return Nanos(min(q.waitingCost+cost, flowCost/share) / throughput)
+}
+
+// competingWeights returns the sum of the weights of t and of the other tenants with waiting requests.
+func (q *fairQueue) competingWeights(t *tenant) float64 {
+	weights := 0.0
+	for _, other := range q.tenants {
+		if other.waiting > 0 || other == t {
+			weights += other.Weight
+		}
+	}
+	return weights
+}
