--- a/internal/lab/simulation/simulation_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -263,3 +263,33 @@
 		}
 	}
 }
+
+// TestLatencyTargetDecidesNothing checks that `docksail serve` does the same, byte by byte, whatever latency target the
+// operator names for one of the classes: it says what an answer is worth, not how long the work takes. The days have
+// faults, background requests and a flood.
+func TestLatencyTargetDecidesNothing(t *testing.T) {
+	for _, file := range []string{"../scenario/testdata/badday.json", "../../../experiments/flood-day.json"} {
+		var want []byte
+		for _, factor := range []float64{1, 0.2, 2.5} {
+			s, err := scenario.Load(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			s.Duration = min(s.Duration, scenario.Duration(20*time.Second))
+			for i := range s.Classes {
+				s.Classes[i].CancelShare = 0 // clients of the laboratory leave within their target
+			}
+			s.Classes[0].LatencyTarget = scenario.Duration(factor * float64(s.Classes[0].LatencyTarget))
+			var entries bytes.Buffer
+			if err := eventlog.Write(&entries, run(t, s, nil).Entries); err != nil {
+				t.Fatal(err)
+			}
+			if want == nil {
+				want = entries.Bytes()
+			}
+			if !bytes.Equal(entries.Bytes(), want) {
+				t.Errorf("%s: another day with %v times the latency target of class %s", filepath.Base(file), factor, s.Classes[0].Name)
+			}
+		}
+	}
+}
