dispatch: intake and admission ask the module for the work left and when to come back

What callers saw: at a full dispatcher a client of a class with a target of 0.2 s was told to come back after 0.1 s and one with 4 s after 2 s; without an endpoint list after 0.2 and 4 s; for want of memory the same once more. A request with less time than the work takes was taken in. Cause: intake, submit and the admission queue each derived Retry-After from the latency target. Change: policy.Router.Estimate is asked once for each arrival. Intake compares its work with the time left, and passes on its RetryAfter; so does the admission queue while it knows no pace of its own. Evidence: TestRejectedClientsComeBackWhenThereMayBeRoom and TestTooLittleTimeIsRejectedAtIntake, seen failing with '100 ms, want 700', '2000 ms, want 700' and 'accepted'.

--- a/internal/decide/admission/reservations.go
+++ b/internal/decide/admission/reservations.go
@@ -22,9 +22,6 @@
 	maxHolderFraction = 1.0 / 8
 	// holderBuckets is the number of hash buckets in which a slot sums the reserved cost of its holders.
 	holderBuckets = 64
-	// defaultRetryFraction is the minimum delay of a retry, as a fraction of the latency objective, while there is no
-	// measurement of the throughput.
-	defaultRetryFraction = 1.0 / 2
 	// goldenRatioFraction is the fractional part of the golden ratio. Its multiples modulo 1 are spread evenly over
 	// the slot, whatever the number of reservations.
 	goldenRatioFraction = 0.6180339887498949
@@ -147,7 +144,7 @@
 	throughput := q.throughput.CostPerNano()
 	notBefore := now + minDelay
 	if throughput <= 0 {
-		notBefore = max(notBefore, now+Nanos(defaultRetryFraction*float64(q.latencyObjective)))
+		notBefore = max(notBefore, now+request.RetryAfter)
 	}
 	if reason == TenantRateExceeded && t.RequestsPerSecond > 0 {
 		notBefore = max(notBefore, now+Nanos((1-t.tokens)/t.RequestsPerSecond*nanosPerSecond))
--- a/internal/decide/intake/intake.go
+++ b/internal/decide/intake/intake.go
@@ -43,25 +43,28 @@
 	EndpointListKnown bool  // an endpoint list has been received
 }
 
-// Check decides on a request while inProgress others are in progress. timeLeft is the time until the client's deadline
-// less the time that an answer takes to reach the client; latencyTarget is that of the request.
-//
-// retryAfter is how long the client should wait before it retries: half the latency target at capacity, and the whole
-// latency target without an endpoint list. It is 0 in a drain, as other dispatchers accept the request at once.
-func (l *Limits) Check(inProgress int, promptTokens, timeLeft, latencyTarget int64) (
-	verdict Verdict, retryAfter int64,
-) {
+// Arrival describes an arriving request.
+type Arrival struct {
+	PromptTokens int64
+	TimeLeft     int64 // until the client's deadline, less the time that an answer takes to reach the client
+	Work         int64 // time that it usually takes until the answer begins; 0 = unknown
+	RetryAfter   int64 // after this time the client of a rejected request may find room
+}
+
+// Check decides on a request while inProgress others are in progress. retryAfter is how long the client should wait
+// before it retries. It is 0 in a drain, as other dispatchers accept the request at once.
+func (l *Limits) Check(inProgress int, arrival Arrival) (verdict Verdict, retryAfter int64) {
 	switch {
-	case promptTokens > l.MaxPromptTokens:
+	case arrival.PromptTokens > l.MaxPromptTokens:
 		return PromptTooLong, 0
 	case l.Draining:
 		return Draining, 0
-	case timeLeft <= 0:
+	case arrival.TimeLeft <= 0 || arrival.TimeLeft < arrival.Work:
 		return DeadlineTooClose, 0
 	case !l.EndpointListKnown:
-		return EndpointListUnknown, latencyTarget
+		return EndpointListUnknown, arrival.RetryAfter
 	case inProgress >= l.MaxRequests:
-		return AtCapacity, latencyTarget / 2
+		return AtCapacity, arrival.RetryAfter
 	}
 	return Accepted, 0
 }
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -48,7 +48,7 @@
 	tenant        policy.TenantID // noTenant if it has none
 	deadline      eventloop.Nanos // when the answer must be sent at the latest
 	latencyTarget int64           // nanoseconds
-	work          int64           // nanoseconds that it usually takes until the answer begins; 0 = unknown
+	estimate      policy.Estimate // the module's
 }
 
 // policyRejectionReason is the reason that clients receive if the module rejects a request.
--- a/internal/dispatch/queuedadmission.go
+++ b/internal/dispatch/queuedadmission.go
@@ -117,7 +117,8 @@
 		ID: admission.RequestID(arrival.id), Tenant: max(int(arrival.tenant), 0),
 		Client: a.hashName(arrival.tenant, r.Client), Source: a.hashName(-1, r.Source[:]),
 		PromptTokens: r.PromptTokens, MaxAnswerTokens: r.MaxTokens, Background: r.Background,
-		LatencyObjective: arrival.latencyTarget, Deadline: arrival.deadline, Work: arrival.work,
+		LatencyObjective: arrival.latencyTarget, Deadline: arrival.deadline, Work: int64(arrival.estimate.Work),
+		RetryAfter: int64(arrival.estimate.RetryAfter),
 	}
 	if r.Ticket != nil && a.signer != nil {
 		if ticket, err := a.signer.Decode(r.Ticket); err == nil {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -24,19 +24,20 @@
 	}
 	settings := &d.classSettings[class]
 	timeLeft := settings.timeLeft(r) - d.answerLeadTime
-	latencyTarget := settings.latencyTarget + settings.latencyTargetPer1k*r.PromptTokens/1000
-	if err := d.checkIntake(r, timeLeft, latencyTarget); err != nil {
+	deadline := now + timeLeft
+	policyRequest := d.policyRequest(class, tenant, r, d.ModuleTime(deadline))
+	estimate := d.module.Estimate(d.ModuleTime(now), policyRequest)
+	if err := d.checkIntake(r, timeLeft, estimate); err != nil {
 		return 0, err
 	}
 	id, req := d.requests.Add()
+	policyRequest.ID = id
 	if req.dispatcher == nil { // the record is new
 		req.memory = d.memory.NewAccount(memory.Requests)
 	}
-	deadline := now + timeLeft
-	policyRequest := d.policyRequest(id, class, tenant, r, d.ModuleTime(deadline))
 	queueRequest, err := d.admission.enqueue(now, arrival{
-		request: r, id: id, tenant: tenant, deadline: deadline, latencyTarget: latencyTarget,
-		work: int64(d.module.Estimate(d.ModuleTime(now), policyRequest).Work),
+		request: r, id: id, tenant: tenant, deadline: deadline, estimate: estimate,
+		latencyTarget: settings.latencyTarget + settings.latencyTargetPer1k*r.PromptTokens/1000,
 	})
 	if err != nil {
 		d.requests.Remove(id)
@@ -81,10 +82,13 @@
 }
 
 // checkIntake returns an error if intake does not accept the request.
-func (d *Dispatcher) checkIntake(r *frontend.Request, timeLeft, latencyTarget int64) error {
-	verdict, retryAfter := d.intake.Check(d.requests.Len(), r.PromptTokens, timeLeft, latencyTarget)
+func (d *Dispatcher) checkIntake(r *frontend.Request, timeLeft int64, estimate policy.Estimate) error {
+	verdict, retryAfter := d.intake.Check(d.requests.Len(), intake.Arrival{
+		PromptTokens: r.PromptTokens, TimeLeft: timeLeft,
+		Work: int64(estimate.Work), RetryAfter: int64(estimate.RetryAfter),
+	})
 	if verdict == intake.Accepted && !d.memory.Admits(memory.Requests, 0, requestBytes(r)) {
-		verdict, retryAfter = intake.OutOfMemory, latencyTarget/2
+		verdict, retryAfter = intake.OutOfMemory, int64(estimate.RetryAfter)
 	}
 	if verdict == intake.Accepted {
 		return nil
@@ -102,16 +106,16 @@
 	return memory.RequestBytes + int64(len(r.Raw)+len(r.ClientRequestID)+len(r.Path)+len(r.Header))
 }
 
-// policyRequest returns the module's description of a request.
-func (d *Dispatcher) policyRequest(id policy.RequestID, class policy.ClassID, tenant policy.TenantID,
-	r *frontend.Request, deadline policy.Nanos,
+// policyRequest returns the module's description of a request, without its ID.
+func (d *Dispatcher) policyRequest(class policy.ClassID, tenant policy.TenantID, r *frontend.Request,
+	deadline policy.Nanos,
 ) policy.Request {
 	owner := tenant
 	if d.keysAreGlobal {
 		owner = noTenant
 	}
 	return policy.Request{
-		ID: id, Class: class, Tenant: tenant,
+		Class: class, Tenant: tenant,
 		Session:      policy.SessionKey(d.hashKey(sessionKey, owner, r.Session)),
 		Prefix:       policy.PrefixKey(d.hashKey(prefixKey, owner, r.Prefix)),
 		PromptTokens: r.PromptTokens, PrefixTokens: r.PrefixTokens, MaxOutputTokens: r.MaxTokens,
--- a/internal/dispatch/submit_test.go
+++ b/internal/dispatch/submit_test.go
@@ -86,3 +86,56 @@
 		t.Errorf("%d bytes held, limit %d", held, limit)
 	}
 }
+
+// TestRejectedClientsComeBackWhenThereMayBeRoom checks that clients that find the dispatcher full are told to come back
+// when the module expects room, whatever the latency target of their class is.
+func TestRejectedClientsComeBackWhenThereMayBeRoom(t *testing.T) {
+	loop, err := eventloop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Close()
+	const wantRetryAfter = int64(700e6)
+	full := intake.Limits{MaxRequests: 0, MaxPromptTokens: 1000, EndpointListKnown: true}
+	listUnknown := intake.Limits{MaxRequests: 10, MaxPromptTokens: 1000}
+	for name, limits := range map[string]intake.Limits{"full": full, "no list": listUnknown} {
+		dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
+			Module:     &scriptedModule{estimate: policy.Estimate{RetryAfter: policy.Nanos(wantRetryAfter)}},
+			ClassNames: []string{"quick", "slow"},
+			Classes:    []policy.Class{{LatencyTarget: 2e8, Timeout: 5e9}, {LatencyTarget: 4e9, Timeout: 5e9}},
+			Intake:     limits, MaxRetryAfter: 10e9, Incarnation: 1,
+		})
+		for _, class := range []string{"quick", "slow"} {
+			request := frontend.Request{Class: []byte(class), PromptTokens: 10}
+			_, err := dispatcher.Submit(loop.Now(), &answerCounts{}, &request)
+			rejection, rejected := errors.AsType[frontend.RejectionError](err)
+			if !rejected || rejection.RetryAfter != wantRetryAfter {
+				t.Errorf("%s, class %s: %v, retry after %d ms, want 700", name, class, err, rejection.RetryAfter/1e6)
+			}
+		}
+	}
+}
+
+// TestTooLittleTimeIsRejectedAtIntake checks that a request whose client waits less long than the work usually takes is
+// rejected at once.
+func TestTooLittleTimeIsRejectedAtIntake(t *testing.T) {
+	loop, err := eventloop.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer loop.Close()
+	dispatcher := NewDirect(loop, slog.New(slog.DiscardHandler), &Config{
+		Module:     &scriptedModule{estimate: policy.Estimate{Work: 300e6}},
+		ClassNames: []string{"a"}, Classes: []policy.Class{{LatencyTarget: 1e9, Timeout: 5e9}},
+		Intake: intake.Limits{MaxRequests: 10, MaxPromptTokens: 1000, EndpointListKnown: true}, Incarnation: 1,
+	})
+	for _, c := range []struct {
+		timeLeft int64
+		accepted bool
+	}{{299e6, false}, {300e6, true}} {
+		request := frontend.Request{Class: []byte("a"), PromptTokens: 10, FirstTokenTimeout: c.timeLeft}
+		if _, err := dispatcher.Submit(loop.Now(), &answerCounts{}, &request); (err == nil) != c.accepted {
+			t.Errorf("with %d ms left for work of 300 ms: %v, want it accepted: %v", c.timeLeft/1e6, err, c.accepted)
+		}
+	}
+}
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -20,6 +20,7 @@
 // waitingList holds the requests that wait for a server, in the order in which they are served.
 type waitingList struct {
 	slots []int32
+	cost  float64 // work of all of them
 }
 
 // compareUrgency orders requests by the time at which their work has to begin, those of tenants over their quota after
@@ -44,12 +45,14 @@
 func (l *waitingList) add(entries []requestState, slot int32) {
 	if i, found := l.find(entries, slot); !found {
 		l.slots = slices.Insert(l.slots, i, slot)
+		l.cost += entries[slot].cost
 	}
 }
 
 func (l *waitingList) remove(entries []requestState, slot int32) {
 	if i, found := l.find(entries, slot); found {
 		l.slots = slices.Delete(l.slots, i, i+1)
+		l.cost -= entries[slot].cost
 	}
 }
 
@@ -144,11 +147,7 @@
 func (r *Router) RetryAfter() Nanos {
 	wait := defaultRetryAfter
 	for i := range r.waiting {
-		cost := 0.0
-		for _, slot := range r.waiting[i].slots {
-			cost += r.requests.entries[slot].cost
-		}
-		wait = max(wait, Nanos(r.pace[i].Wait(cost)))
+		wait = max(wait, Nanos(r.pace[i].Wait(r.waiting[i].cost)))
 	}
 	return min(wait, r.config.Responses.MaxRetryAfter)
 }
