serve: the admission queue has lengths of its own, not the shortest latency target's

Cause: all lengths were fractions or multiples of the shortest latency objective. The queue knows no latency objective any more.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -18,18 +18,17 @@
 
 // Request describes a request to the queue.
 type Request struct {
-	ID               RequestID
-	Tenant           int    // number of the tenant, see Queue.SetTenant
-	Client           uint64 // keyed hash of the client's name; 0 without one
-	Source           uint64 // keyed hash of the client's address
-	PromptTokens     int64
-	MaxAnswerTokens  int64
-	LatencyObjective Nanos   // time to first token within which the answer has its full value
-	Deadline         Nanos   // time by which the answer must have begun
-	Work             Nanos   // time that it usually takes from the admission until the answer begins; 0 if unknown
-	RetryAfter       Nanos   // when its client may find room if it is rejected before a pace is known
-	Ticket           *Ticket // the reservation that the client presents; nil if none
-	Background       bool    // admitted only to capacity that no interactive request needs
+	ID              RequestID
+	Tenant          int    // number of the tenant, see Queue.SetTenant
+	Client          uint64 // keyed hash of the client's name; 0 without one
+	Source          uint64 // keyed hash of the client's address
+	PromptTokens    int64
+	MaxAnswerTokens int64
+	Deadline        Nanos   // time by which the answer must have begun
+	Work            Nanos   // time that it usually takes from the admission until the answer begins; 0 if unknown
+	RetryAfter      Nanos   // when its client may find room if it is rejected before a pace is known
+	Ticket          *Ticket // the reservation that the client presents; nil if none
+	Background      bool    // admitted only to capacity that no interactive request needs
 }
 
 // Verdict is the decision on a request: Queued, or the reason for its rejection.
--- a/internal/decide/admission/fairqueue.go
+++ b/internal/decide/admission/fairqueue.go
@@ -8,16 +8,15 @@
 const (
 	// reservedCapacityFraction is the fraction of the queue that is kept free for requests with a reservation.
 	reservedCapacityFraction = 1.0 / 8
-	// clientRetention is how long a client is remembered after its last served request, in latency objectives.
-	clientRetention = 600
+	// clientRetention is how long a client is remembered after its last served request.
+	clientRetention = Nanos(600e9)
 )
 
 // fairQueue is a queue of requests that are admitted in the order of start-time fair queueing.
 type fairQueue struct {
-	fifo             bool
-	maxWaiting       int
-	maxFlows         int
-	latencyObjective Nanos
+	fifo       bool
+	maxWaiting int
+	maxFlows   int
 
 	tenants           []*tenant
 	activeTenants     indexedheap.Heap[*tenant] // tenants with admissible requests, by start tag
@@ -64,15 +63,14 @@
 
 func newFairQueue(config Config, maxFlows int) *fairQueue {
 	return &fairQueue{
-		fifo:             config.FIFO,
-		maxWaiting:       config.MaxWaiting,
-		maxFlows:         maxFlows,
-		latencyObjective: config.LatencyObjective,
-		activeTenants:    newTenantHeap(),
-		requests:         make(map[RequestID]*queuedRequest),
-		byExpiry:         newExpiryHeap(),
-		clients:          newKnownClients(config.MaxKnownClients),
-		reservations:     newReservationTable(config.Signer, config.LatencyObjective),
+		fifo:          config.FIFO,
+		maxWaiting:    config.MaxWaiting,
+		maxFlows:      maxFlows,
+		activeTenants: newTenantHeap(),
+		requests:      make(map[RequestID]*queuedRequest),
+		byExpiry:      newExpiryHeap(),
+		clients:       newKnownClients(config.MaxKnownClients),
+		reservations:  newReservationTable(config.Signer),
 	}
 }
 
@@ -280,7 +278,7 @@
 	}
 	t.running = max(t.running-1, 0)
 	if result.Served {
-		q.clients.recordServed(now, t.number, request.Client, clientRetention*q.latencyObjective)
+		q.clients.recordServed(now, t.number, request.Client, clientRetention)
 		q.correctCharge(now, t, request, result.AnswerTokens)
 	}
 	q.updateTenant(t)
--- a/internal/decide/admission/reservations.go
+++ b/internal/decide/admission/reservations.go
@@ -5,8 +5,11 @@
 const (
 	// slotCount is the number of time slots for which reservations can be made.
 	slotCount = 256
-	// slotLengthFraction is the length of a slot as a fraction of the latency objective.
-	slotLengthFraction = 1.0 / 4
+	// slotLength is the length of a slot. The slots after that of a ticket in which it is valid cover the delay of a
+	// retry on the network.
+	slotLength = Nanos(250e6)
+	// horizon is the total length of all slots.
+	horizon = slotCount * slotLength
 	// reservableFraction is the fraction of the throughput that can be reserved. The rest serves requests without a
 	// reservation and absorbs a decrease in throughput.
 	reservableFraction = 1.0 / 2
@@ -29,9 +32,8 @@
 
 // reservationTable holds the reserved costs and the tickets of the upcoming time slots.
 type reservationTable struct {
-	signer     *TicketSigner // if nil, no reservations are made
-	slotLength Nanos
-	slots      [slotCount]timeSlot // ring buffer, indexed by slot number modulo slotCount
+	signer *TicketSigner       // if nil, no reservations are made
+	slots  [slotCount]timeSlot // ring buffer, indexed by slot number modulo slotCount
 }
 
 // timeSlot holds the reservations of one time slot.
@@ -51,8 +53,8 @@
 	cost      float64
 }
 
-func newReservationTable(signer *TicketSigner, latencyObjective Nanos) *reservationTable {
-	r := &reservationTable{signer: signer, slotLength: max(Nanos(slotLengthFraction*float64(latencyObjective)), 1)}
+func newReservationTable(signer *TicketSigner) *reservationTable {
+	r := &reservationTable{signer: signer}
 	for i := range r.slots {
 		r.slots[i].number = -1
 	}
@@ -68,16 +70,13 @@
 	return s
 }
 
-// horizon returns the total length of all slots.
-func (r *reservationTable) horizon() Nanos { return slotCount * r.slotLength }
-
 // reserve makes a reservation in the first slot that has enough capacity at the given throughput. It returns the
 // number of the slot and the serial of the reservation in it. ok is false if no slot has enough capacity.
 func (r *reservationTable) reserve(
 	now Nanos, claim reservationClaim, throughput float64,
 ) (slot int64, serial uint32, ok bool) {
-	capacity := reservableFraction * throughput * float64(r.slotLength)
-	first, last := now/r.slotLength+1, now/r.slotLength+slotCount-lateSlots-2
+	capacity := reservableFraction * throughput * float64(slotLength)
+	first, last := now/slotLength+1, now/slotLength+slotCount-lateSlots-2
 	heldCost := 0.0 // by the holder, in all slots so far
 	for n := first; n <= last; n++ {
 		s := r.slot(n)
@@ -85,7 +84,7 @@
 		heldCost += *holderCost
 		maxHeldCost := claim.weight * maxHolderFraction * capacity * float64(n-first+1)
 		holderFull := heldCost > 0 && heldCost+claim.cost > maxHeldCost
-		if n < claim.notBefore/r.slotLength || holderFull || !s.hasCapacity(claim.cost, capacity) {
+		if n < claim.notBefore/slotLength || holderFull || !s.hasCapacity(claim.cost, capacity) {
 			continue
 		}
 		s.cost += claim.cost
@@ -107,7 +106,7 @@
 	if ticket.Tenant != tenant || ticket.Client != client || ticket.Serial >= maxTicketsPerSlot {
 		return false
 	}
-	if n := now / r.slotLength; n < ticket.Slot-earlySlots || n > ticket.Slot+lateSlots {
+	if n := now / slotLength; n < ticket.Slot-earlySlots || n > ticket.Slot+lateSlots {
 		return false
 	}
 	s := &r.slots[ticket.Slot%slotCount]
@@ -126,13 +125,13 @@
 func (r *reservationTable) restore(now Nanos, ticket *Ticket) Nanos {
 	s := &r.slots[ticket.Slot%slotCount]
 	s.redeemed[ticket.Serial/64] &^= uint64(1) << (ticket.Serial % 64)
-	return max((ticket.Slot+lateSlots+1)*r.slotLength-1-now, 1)
+	return max((ticket.Slot+lateSlots+1)*slotLength-1-now, 1)
 }
 
 // retryTime returns when the client of a reservation should retry. The retries of a slot are spread over its length.
 func (r *reservationTable) retryTime(slot int64, serial uint32) Nanos {
 	_, fraction := math.Modf(float64(serial) * goldenRatioFraction)
-	return slot*r.slotLength + Nanos(fraction*float64(r.slotLength))
+	return slot*slotLength + Nanos(fraction*float64(slotLength))
 }
 
 // reserveRetry makes a reservation, if possible, for the retry of a rejected request and returns when its client should
@@ -155,7 +154,7 @@
 	}
 	if reason != TenantRateExceeded { // only requests ahead of it in its flow delay it, not all that wait
 		wait := q.estimatedWait(t, q.findFlow(now, t, request.Request), request.cost)
-		notBefore = max(notBefore, now+min(wait, q.reservations.horizon()/2))
+		notBefore = max(notBefore, now+min(wait, horizon/2))
 	}
 	key, weight := q.clientKey(now, t, request.Request)
 	claim := reservationClaim{
@@ -163,7 +162,7 @@
 	}
 	slot, serial, ok := q.reservations.reserve(now, claim, throughput)
 	if !ok {
-		return RetryAdvice{RetryAfter: max(q.reservations.horizon(), notBefore-now)}
+		return RetryAdvice{RetryAfter: max(horizon, notBefore-now)}
 	}
 	t.counts.ReservationsGranted++
 	return RetryAdvice{
--- a/internal/dispatch/admission.go
+++ b/internal/dispatch/admission.go
@@ -43,12 +43,11 @@
 
 // arrival is a request that intake has accepted.
 type arrival struct {
-	request       *frontend.Request
-	id            policy.RequestID
-	tenant        policy.TenantID // noTenant if it has none
-	deadline      eventloop.Nanos // when the answer must be sent at the latest
-	latencyTarget int64           // nanoseconds
-	estimate      policy.Estimate // the module's
+	request  *frontend.Request
+	id       policy.RequestID
+	tenant   policy.TenantID // noTenant if it has none
+	deadline eventloop.Nanos // when the answer must be sent at the latest
+	estimate policy.Estimate // the module's
 }
 
 // policyRejectionReason is the reason that clients receive if the module rejects a request.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -126,7 +126,7 @@
 func NewQueued(loop *eventloop.Loop, log *slog.Logger, config *Config, queue *QueueConfig) (*Dispatcher, error) {
 	d := newDispatcher(loop, log, config)
 	var err error
-	d.admission, err = newQueuedAdmission(d, queue, config.ShortestLatencyTarget())
+	d.admission, err = newQueuedAdmission(d, queue)
 	return d, err
 }
 
--- a/internal/dispatch/queuedadmission.go
+++ b/internal/dispatch/queuedadmission.go
@@ -67,7 +67,7 @@
 
 // newQueuedAdmission returns an admission control with an empty queue. It returns an error if the keys cannot be read
 // or a limit in config is invalid.
-func newQueuedAdmission(d *Dispatcher, config *QueueConfig, latencyObjective int64) (*queuedAdmission, error) {
+func newQueuedAdmission(d *Dispatcher, config *QueueConfig) (*queuedAdmission, error) {
 	var keys [ticketKeyBytes + 8]byte
 	if _, err := io.ReadFull(config.Secrets, keys[:]); err != nil {
 		return nil, fmt.Errorf("read keys of the admission queue: %w", err)
@@ -82,8 +82,7 @@
 	}
 	var err error
 	a.queue, err = admission.New(admission.Config{
-		MaxWaiting: config.MaxWaiting, MaxKnownClients: config.MaxKnownClients, LatencyObjective: latencyObjective,
-		Signer: a.signer, FIFO: config.FIFO,
+		MaxWaiting: config.MaxWaiting, MaxKnownClients: config.MaxKnownClients, Signer: a.signer, FIFO: config.FIFO,
 	})
 	if err != nil {
 		return nil, err
@@ -117,7 +116,7 @@
 		ID: admission.RequestID(arrival.id), Tenant: max(int(arrival.tenant), 0),
 		Client: a.hashName(arrival.tenant, r.Client), Source: a.hashName(-1, r.Source[:]),
 		PromptTokens: r.PromptTokens, MaxAnswerTokens: r.MaxTokens, Background: r.Background,
-		LatencyObjective: arrival.latencyTarget, Deadline: arrival.deadline, Work: int64(arrival.estimate.Work),
+		Deadline: arrival.deadline, Work: int64(arrival.estimate.Work),
 		RetryAfter: int64(arrival.estimate.RetryAfter),
 	}
 	if r.Ticket != nil && a.signer != nil {
--- a/internal/dispatch/submit.go
+++ b/internal/dispatch/submit.go
@@ -37,7 +37,6 @@
 	}
 	queueRequest, err := d.admission.enqueue(now, arrival{
 		request: r, id: id, tenant: tenant, deadline: deadline, estimate: estimate,
-		latencyTarget: settings.latencyTarget + settings.latencyTargetPer1k*r.PromptTokens/1000,
 	})
 	if err != nil {
 		d.requests.Remove(id)
