background: idle capacity is seen by waits and queues, not by shares of a latency target

What callers saw: a batch beside a class with a target of four seconds was let in while that class's first tokens came 1.3 s later than they need; beside one of 0.2 s it was stopped by any first token after 67 ms, though nobody waited. Cause: the limiter measured first tokens, waits and pauses by latency objectives. Change: the limit is halved when an interactive request has waited for 30 ms, or its first token came later than its work takes at servers without a queue and the tolerance that policy has for 'queued' (Estimate.QueuedAfter); a rejection pauses admission for two seconds. A late first token alone no longer pauses: the halved limit is enough, and a pause follows from a rejection.

--- a/internal/decide/admission/admission.go
+++ b/internal/decide/admission/admission.go
@@ -26,6 +26,7 @@
 	MaxAnswerTokens int64
 	Deadline        Nanos   // time by which the answer must have begun
 	Work            Nanos   // time that it usually takes from the admission until the answer begins; 0 if unknown
+	QueuedAfter     Nanos   // time to first token above which it has queued at a server; 0 if unknown
 	RetryAfter      Nanos   // when its client may find room if it is rejected before a pace is known
 	Ticket          *Ticket // the reservation that the client presents; nil if none
 	Background      bool    // admitted only to capacity that no interactive request needs
--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -61,7 +61,7 @@
 	return &Queue{
 		interactive:       newFairQueue(config, maxFlows),
 		background:        newFairQueue(backgroundConfig, maxFlows),
-		backgroundLimiter: background.New(int64(1e9)),
+		backgroundLimiter: background.New(),
 		unsentLimit:       maxUnsent,
 	}, nil
 }
@@ -185,7 +185,7 @@
 	if request.Background {
 		q.backgroundLimiter.RecordStarted()
 	} else {
-		q.backgroundLimiter.ObserveFirstToken(now, timeToFirstToken, int64(1e9))
+		q.backgroundLimiter.ObserveFirstToken(now, timeToFirstToken, request.QueuedAfter)
 	}
 }
 
--- a/internal/decide/background/background.go
+++ b/internal/decide/background/background.go
@@ -10,33 +10,27 @@
 
 // Limiter is the concurrency limiter of background requests. Create it with New.
 type Limiter struct {
-	latencyObjective Nanos   // the shortest latency objective of the interactive classes
-	limit            float64 // background requests that may be in flight
-	inFlight         int     // background requests that are in flight
-	starting         int     // those of them without a first token
-	pausedUntil      Nanos   // no background request is admitted before
-	decreasedAt      Nanos   // time of the last decrease
-	limitReached     bool    // the limit has delayed a request since it was last changed
-	Counts           Counts
+	limit        float64 // background requests that may be in flight
+	inFlight     int     // background requests that are in flight
+	starting     int     // those of them without a first token
+	pausedUntil  Nanos   // no background request is admitted before
+	decreasedAt  Nanos   // time of the last decrease
+	limitReached bool    // the limit has delayed a request since it was last changed
+	Counts       Counts
 }
 
 // Counts are counters since the limiter was created.
 type Counts struct{ Admitted, Served, Decreases, Pauses uint64 }
 
 const (
-	// queueWaitThreshold is the wait of an interactive request in the admission queue, as a fraction of the latency
-	// objective, above which the limit is decreased. With idle capacity there is hardly any wait.
-	queueWaitThreshold = 1.0 / 32
-	// firstTokenThreshold is the time to first token of an interactive request, as a fraction of its own latency
-	// objective, above which the limit is decreased. With idle capacity the time is a small fraction of it.
-	firstTokenThreshold = 1.0 / 3
-	// pauseThreshold is the fraction of the latency objective above which admission is also paused.
-	pauseThreshold = 1.0 / 2
-	// decreaseIntervalFraction is the minimum time between two decreases, as a fraction of the latency objective, so
-	// that requests admitted before a decrease can end first.
-	decreaseIntervalFraction = 1.0 / 2
-	// pauseDurationFactor is the duration of a pause of admission, as a multiple of the latency objective.
-	pauseDurationFactor = 2
+	// maxIdleWait is the wait of an interactive request in the admission queue above which the limit is decreased. With
+	// idle capacity there is hardly any wait.
+	maxIdleWait = Nanos(30e6)
+	// decreaseInterval is the minimum time between two decreases, so that requests admitted before a decrease can end
+	// first.
+	decreaseInterval = Nanos(500e6)
+	// pauseDuration is the duration of a pause of admission. Running background requests can end in it.
+	pauseDuration = Nanos(2e9)
 	// startingFraction is the fraction of the limit that may be waiting for a first token. It is small because
 	// background prefills delay other prefills, whereas decodes run beside each other.
 	startingFraction = 1.0 / 4
@@ -44,10 +38,8 @@
 	additiveIncrease = 1
 )
 
-// New returns a limiter with a limit of one request. latencyObjective is the shortest of the interactive classes.
-func New(latencyObjective Nanos) *Limiter {
-	return &Limiter{latencyObjective: max(latencyObjective, 1), limit: 1}
-}
+// New returns a limiter with a limit of one request.
+func New() *Limiter { return &Limiter{limit: 1} }
 
 // CanAdmit reports whether a waiting background request may be admitted now. If the limit forbids it, this is
 // recorded, because the limit only grows while it is reached.
@@ -108,33 +100,30 @@
 
 // ObserveQueueWait decreases the limit if an interactive request waited too long in the admission queue.
 func (l *Limiter) ObserveQueueWait(now, wait Nanos) {
-	if l.inFlight > 0 && float64(wait) > queueWaitThreshold*float64(l.latencyObjective) {
+	if l.inFlight > 0 && wait > maxIdleWait {
 		l.decrease(now)
 	}
 }
 
-// ObserveFirstToken decreases the limit, and may pause admission, if the time to first token of an interactive request
-// is a large fraction of its latency objective.
-func (l *Limiter) ObserveFirstToken(now, timeToFirstToken, latencyObjective Nanos) {
-	switch fraction := float64(timeToFirstToken) / float64(max(latencyObjective, 1)); {
-	case fraction > pauseThreshold:
-		l.ObserveRejection(now)
-	case fraction > firstTokenThreshold && l.inFlight > 0:
+// ObserveFirstToken decreases the limit if an interactive request has queued: its first token came later than queuedAfter
+// after its arrival, the time that its work takes at servers with idle capacity and a tolerance; 0 = unknown.
+func (l *Limiter) ObserveFirstToken(now, timeToFirstToken, queuedAfter Nanos) {
+	if queuedAfter > 0 && timeToFirstToken > queuedAfter && l.inFlight > 0 {
 		l.decrease(now)
 	}
 }
 
-// ObserveRejection pauses admission and decreases the limit because an interactive request was rejected or very late:
-// there is no idle capacity.
+// ObserveRejection pauses admission and decreases the limit because an interactive request was rejected: there is no
+// idle capacity.
 func (l *Limiter) ObserveRejection(now Nanos) {
 	l.Counts.Pauses++
-	l.pausedUntil = max(l.pausedUntil, now+pauseDurationFactor*l.latencyObjective)
+	l.pausedUntil = max(l.pausedUntil, now+pauseDuration)
 	l.decrease(now)
 }
 
 // decrease halves the limit, unless the last decrease is too recent to have taken effect.
 func (l *Limiter) decrease(now Nanos) {
-	if l.Counts.Decreases > 0 && now < l.decreasedAt+Nanos(decreaseIntervalFraction*float64(l.latencyObjective)) {
+	if l.Counts.Decreases > 0 && now < l.decreasedAt+decreaseInterval {
 		return
 	}
 	l.Counts.Decreases++
--- a/internal/dispatch/queuedadmission.go
+++ b/internal/dispatch/queuedadmission.go
@@ -117,7 +117,7 @@
 		Client: a.hashName(arrival.tenant, r.Client), Source: a.hashName(-1, r.Source[:]),
 		PromptTokens: r.PromptTokens, MaxAnswerTokens: r.MaxTokens, Background: r.Background,
 		Deadline: arrival.deadline, Work: int64(arrival.estimate.Work),
-		RetryAfter: int64(arrival.estimate.RetryAfter),
+		QueuedAfter: int64(arrival.estimate.QueuedAfter), RetryAfter: int64(arrival.estimate.RetryAfter),
 	}
 	if r.Ticket != nil && a.signer != nil {
 		if ticket, err := a.signer.Decode(r.Ticket); err == nil {
--- a/policy/work.go
+++ b/policy/work.go
@@ -81,7 +81,12 @@
 
 // hasQueued reports whether an attempt that took a time has queued at its server, by the service time of its work.
 func hasQueued(elapsed Nanos, estimate float64) bool {
-	return float64(elapsed) > queuedFactor*estimate && float64(elapsed)-estimate > float64(minQueueDelay)
+	return float64(elapsed) > queuedThreshold(estimate)
+}
+
+// queuedThreshold returns the time above which an attempt has queued, by the service time of its work.
+func queuedThreshold(estimate float64) float64 {
+	return max(queuedFactor*estimate, estimate+float64(minQueueDelay))
 }
 
 // workModel estimates the work that is left for a request, in seconds as seen: by the service times of the stages, and
@@ -129,14 +134,28 @@
 
 // Estimate is what the router expects of the work of a request that has not arrived yet.
 type Estimate struct {
-	Work       Nanos // until its answer begins, as it usually takes of late; 0 if that is unknown
-	RetryAfter Nanos // when its client may find room if it is rejected
+	Work        Nanos // until its answer begins, as it usually takes of late; 0 if that is unknown
+	QueuedAfter Nanos // if its answer begins later than that, it has queued at a server; 0 if that is unknown
+	RetryAfter  Nanos // when its client may find room if it is rejected
 }
 
 // Estimate estimates the work of a request. Admission and intake decide by it, as the router does.
 func (r *Router) Estimate(now Nanos, request Request) Estimate {
 	req := requestState{Request: request}
-	return Estimate{Work: r.workLeft(now, &req), RetryAfter: r.RetryAfter()}
+	return Estimate{
+		Work: r.workLeft(now, &req), QueuedAfter: r.queuedAfter(r.uncachedTokens(now, &req), request.PromptTokens),
+		RetryAfter: r.RetryAfter(),
+	}
+}
+
+// queuedAfter returns the time to the first token above which a request has queued; 0 if that is unknown.
+func (r *Router) queuedAfter(uncachedTokens, promptTokens int64) Nanos {
+	prefill := r.work.serviceTime(prefillStage, uncachedTokens)
+	handOver := r.work.serviceTime(transferWithinCell, promptTokens)
+	if prefill == 0 || handOver == 0 {
+		return 0
+	}
+	return Nanos(queuedThreshold(float64(prefill + handOver)))
 }
 
 // prefillTime returns how long the processing of uncached prompt tokens usually takes.
