streamwatch: a silent server is given the time that clients give it, not a latency target

What callers saw: with docksail serve a stream of a class with a target of four seconds was left with a hung decode server for four seconds, one whose target between tokens was 70 ms for 4.2 s, and one with 10 ms and 0.2 s for 0.6 s, in which a server that recomputes an answer is still at work. Cause: the silence allowed was 60 target gaps, at least one target to the first token. Change: what the platform says of its clients' patience, as before, and three seconds where that is unknown, for every class. The dispatcher keeps no targets of classes any more. TestCheck has the client's patience with two bounds in place of the short gaps; TestSilentStreamEnds draws that patience. Cost: an operator of serve can no longer set the silence by a target; the call's deadline stays.

--- a/internal/decide/streamwatch/streamwatch.go
+++ b/internal/decide/streamwatch/streamwatch.go
@@ -27,12 +27,9 @@
 func (v Verdict) String() string { return verdictTexts[v] }
 
 const (
-	// maxSilenceGaps is how many target gaps between tokens a decode server may be silent. Long prefills or a preemption
-	// can delay a decode batch by tens of gaps.
-	maxSilenceGaps = 60
-	// minSilenceTargets is the lower bound of the allowed silence, as a multiple of the first-token target. It applies
-	// if gaps are short: a decode server that ran out of memory needs about that time to recompute an answer.
-	minSilenceTargets = 1
+	// defaultMaxSilence is how long, in nanoseconds, a decode server may be silent if it is unknown what clients
+	// tolerate. A server that ran out of memory recomputes an answer meanwhile, and long prefills delay its tokens.
+	defaultMaxSilence = int64(3e9)
 	// silenceMarginDivisor divides the silence that a client tolerates into the part that is left for the end of the
 	// stream to reach the client.
 	silenceMarginDivisor = 10
@@ -48,15 +45,13 @@
 
 // Stream describes a streaming answer.
 type Stream struct {
-	FirstTokenAt     int64 // when the first token was received
-	LastTokenAt      int64 // when the latest token was received
-	LastByteAt       int64 // when the latest byte was received, even if its token is incomplete; 0 if unknown
-	InterTokenTarget int64 // target time between tokens
-	FirstTokenTarget int64 // target time to the first token
-	CallDeadline     int64 // the client's deadline; 0 if it has none
-	AnswerLeadTime   int64 // how long before the deadline the final answer is sent
-	MaxSilence       int64 // how long the client tolerates silence after a token; 0 if unknown
-	ClientBlocked    bool  // received data has waited for the client to read, at least since the latest token
+	FirstTokenAt   int64 // when the first token was received
+	LastTokenAt    int64 // when the latest token was received
+	LastByteAt     int64 // when the latest byte was received, even if its token is incomplete; 0 if unknown
+	CallDeadline   int64 // the client's deadline; 0 if it has none
+	AnswerLeadTime int64 // how long before the deadline the final answer is sent
+	MaxSilence     int64 // how long the client tolerates silence after a token; 0 if unknown
+	ClientBlocked  bool  // received data has waited for the client to read, at least since the latest token
 }
 
 // Check returns the verdict on a stream and, with Continue, the time by which to check it again.
@@ -90,5 +85,5 @@
 	if s.MaxSilence > 0 {
 		return s.MaxSilence - s.MaxSilence/silenceMarginDivisor
 	}
-	return max(maxSilenceGaps*s.InterTokenTarget, minSilenceTargets*s.FirstTokenTarget)
+	return defaultMaxSilence
 }
--- a/internal/decide/streamwatch/streamwatch_test.go
+++ b/internal/decide/streamwatch/streamwatch_test.go
@@ -9,16 +9,14 @@
 const ms = int64(1e6)
 
 func TestCheck(t *testing.T) {
-	stream := Stream{
-		FirstTokenAt: 1000 * ms, LastTokenAt: 2000 * ms, InterTokenTarget: 50 * ms, FirstTokenTarget: 1000 * ms,
-	}
-	blocked, shortGaps, withDeadline, oneToken := stream, stream, stream, stream
+	stream := Stream{FirstTokenAt: 1000 * ms, LastTokenAt: 2000 * ms}
+	blocked, impatient, withDeadline, oneToken := stream, stream, stream, stream
 	blocked.ClientBlocked = true
-	shortGaps.InterTokenTarget = ms
+	impatient.MaxSilence = 1000 * ms
 	withDeadline.CallDeadline, withDeadline.AnswerLeadTime = 2510*ms, 20*ms
 	oneToken.LastTokenAt = 0
 
-	const limit = maxSilenceGaps * 50 * ms
+	const limit = defaultMaxSilence
 	const byteLimit = limit / byteSilenceDivisor
 	byBytes, hanging, endless := stream, stream, stream
 	byBytes.LastByteAt, hanging.LastByteAt = 2000*ms+limit-ms, 2000*ms+byteLimit
@@ -33,7 +31,8 @@
 		{"recent token", 2100 * ms, stream, Continue, 2000*ms + limit},
 		{"just below the silence limit", 2000*ms + limit - 1, stream, Continue, 2000*ms + limit},
 		{"at the silence limit", 2000*ms + limit, stream, ServerSilent, 0},
-		{"short gaps: at least one first-token target", 2900 * ms, shortGaps, Continue, 3000 * ms},
+		{"what the client tolerates, less a margin", 2899 * ms, impatient, Continue, 2900 * ms},
+		{"the client's tolerance is over", 2900 * ms, impatient, ServerSilent, 0},
 		{
 			"client blocked, within its limit", 2000*ms + limit, blocked,
 			Continue, 2000*ms + clientStallFactor*limit,
@@ -59,9 +58,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := Stream{
 			FirstTokenAt: 1, LastTokenAt: 1, AnswerLeadTime: 1000,
-			InterTokenTarget: rapid.Int64Range(1, 1e9).Draw(t, "gap"),
-			FirstTokenTarget: rapid.Int64Range(1, 1e10).Draw(t, "first-token target"),
-			ClientBlocked:    rapid.Bool().Draw(t, "client blocked"),
+			MaxSilence:    rapid.Int64Range(0, 1e10).Draw(t, "max silence"),
+			ClientBlocked: rapid.Bool().Draw(t, "client blocked"),
 		}
 		if rapid.Bool().Draw(t, "has deadline") {
 			s.CallDeadline = rapid.Int64Range(1, 1e12).Draw(t, "deadline")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -107,10 +107,10 @@
 	onDrained  func()
 }
 
-// classSettings are the times of a class, in nanoseconds, and whether its requests are idempotent.
+// classSettings are the timeout of a class, in nanoseconds, and whether its requests are idempotent.
 type classSettings struct {
-	latencyTarget, latencyTargetPer1k, timeout, interTokenTarget int64
-	idempotent                                                   bool
+	timeout    int64
+	idempotent bool
 }
 
 // NewDirect returns a dispatcher without an admission queue: requests go to the module as they arrive. A request may
@@ -142,9 +142,7 @@
 	for i, class := range config.Classes {
 		d.classes[config.ClassNames[i]] = policy.ClassID(i)
 		d.classSettings = append(d.classSettings, classSettings{
-			latencyTarget: int64(class.LatencyTarget), latencyTargetPer1k: int64(class.LatencyTargetPer1k),
-			timeout: int64(class.Timeout), interTokenTarget: int64(class.InterTokenTarget),
-			idempotent: class.Idempotency == policy.Idempotent,
+			timeout: int64(class.Timeout), idempotent: class.Idempotency == policy.Idempotent,
 		})
 	}
 	for i, name := range config.TenantNames {
--- a/internal/dispatch/streaming.go
+++ b/internal/dispatch/streaming.go
@@ -49,10 +49,8 @@
 // checkStream ends a streaming answer if the server or the client has stalled or the deadline is reached. Otherwise it
 // sets the timer of the next check.
 func (d *Dispatcher) checkStream(now eventloop.Nanos, req *Request) {
-	settings := &d.classSettings[req.class]
 	verdict, nextCheck := streamwatch.Check(now, streamwatch.Stream{
 		FirstTokenAt: req.firstTokenAt, LastTokenAt: req.lastTokenAt, LastByteAt: req.lastByteAt,
-		InterTokenTarget: settings.interTokenTarget, FirstTokenTarget: settings.latencyTarget,
 		CallDeadline: req.callDeadline, AnswerLeadTime: d.answerLeadTime, MaxSilence: d.maxSilence,
 		ClientBlocked: req.uncreditedBytes > 0,
 	})
