keepalive: connections are judged by times of the network, not by the shortest latency target

What callers saw: with docksail serve and one class with a target of 0.2 s, every connection to an engine was pinged after 50 ms of silence and closed 0.2 s later, before a lost packet is sent again: the attempts of all classes failed with it. With targets of ten seconds a dead connection was noticed after 12.5 s, when its callers had left. Cause: ping delay and timeout, the lifetime of unused connections and of load reports, the wait for a throttle and the timeout of releases were all parts of the shortest latency target. Change: EnginePolicy has a ping timeout of one second, as for a target of one second before; unusedTimeout, reportLifetime, MaxThrottleWait and ReleaseTimeout are lengths of their own. The watch on discovery keeps its timeout. dispatch.ShortestLatencyTarget is gone.

--- a/internal/backend/grpc/attempt.go
+++ b/internal/backend/grpc/attempt.go
@@ -4,6 +4,7 @@
 	"golang.org/x/net/http2"
 
 	"docksail/internal/decide/inflight"
+	"docksail/internal/decide/keepalive"
 	"docksail/internal/dispatch"
 	"docksail/internal/eventloop"
 	"docksail/internal/h2"
@@ -38,7 +39,7 @@
 func (a *attempt) limitThrottleWait(now eventloop.Nanos) {
 	a.wasThrottled = true
 	b, req := a.conn.backend, a.request
-	b.dispatcher.SetAttemptTimer(req, min(req.StartedAt+req.AttemptTimeout, now+b.keepalive.MaxThrottleWait()))
+	b.dispatcher.SetAttemptTimer(req, min(req.StartedAt+req.AttemptTimeout, now+keepalive.MaxThrottleWait))
 }
 
 // Finish implements dispatch.Attempt. It resets the stream if the engine has not ended it, and reports whether it did
--- a/internal/backend/grpc/backend.go
+++ b/internal/backend/grpc/backend.go
@@ -32,8 +32,6 @@
 
 // Config configures a backend. Durations are in nanoseconds.
 type Config struct {
-	// LatencyTarget is the shortest of the classes' latency targets. Keepalive times are derived from it.
-	LatencyTarget  int64
 	ConnectTimeout int64
 	Limits         h2.Limits
 	// List is the endpoint list. The module uses its IDs of zones and cells.
@@ -63,7 +61,7 @@
 	b := &Backend{
 		loop: loop, log: log, dispatcher: dispatcher, list: config.List,
 		servers:        make(map[policy.ServerID]*server),
-		keepalive:      keepalive.Policy{LatencyTarget: config.LatencyTarget},
+		keepalive:      keepalive.EnginePolicy,
 		connectTimeout: config.ConnectTimeout, limits: config.Limits,
 	}
 	b.watcher.init(b, config.Discovery)
--- a/internal/backend/grpc/conn.go
+++ b/internal/backend/grpc/conn.go
@@ -108,7 +108,7 @@
 	}
 	c.server.sendPendingReleases(c)
 	c.scheduleFlush()
-	c.backend.loop.SetTimer(&c.timer, now+c.backend.keepalive.LatencyTarget, c.onKeepalive)
+	c.backend.loop.SetTimer(&c.timer, now+c.backend.keepalive.PingTimeout, c.onKeepalive)
 }
 
 // Received implements eventloop.Handler.
--- a/internal/backend/grpc/load.go
+++ b/internal/backend/grpc/load.go
@@ -7,6 +7,7 @@
 	orca "github.com/cncf/xds/go/xds/data/orca/v3"
 	"google.golang.org/protobuf/proto"
 
+	"docksail/internal/decide/keepalive"
 	"docksail/internal/h2"
 	"docksail/policy"
 )
@@ -45,7 +46,7 @@
 	if v, ok := report.NamedMetrics[metricQueuedPromptTokens]; ok {
 		load.QueuedPromptTokens = v
 	}
-	if ms, ok := report.NamedMetrics[metricAge]; ok && !b.keepalive.IsLoadReportFresh(int64(ms*1e6)) {
+	if ms, ok := report.NamedMetrics[metricAge]; ok && !keepalive.IsLoadReportFresh(int64(ms*1e6)) {
 		b.dispatcher.Counts.StaleLoadReports++
 		return policy.NoLoadReport
 	}
--- a/internal/backend/grpc/stream.go
+++ b/internal/backend/grpc/stream.go
@@ -4,6 +4,7 @@
 	"golang.org/x/net/http2"
 	"google.golang.org/grpc/codes"
 
+	"docksail/internal/decide/keepalive"
 	"docksail/internal/dispatch"
 	"docksail/internal/eventloop"
 	"docksail/internal/h2"
@@ -48,7 +49,7 @@
 // again on another connection.
 func (c *conn) sendRelease(release pendingRelease) {
 	b := c.backend
-	s := c.http2.OpenStream(pathRelease, c.server.name, b.keepalive.LatencyTarget)
+	s := c.http2.OpenStream(pathRelease, c.server.name, keepalive.ReleaseTimeout)
 	b.scratch = appendAttemptID(b.scratch[:0], b.dispatcher.Incarnation(), release.request, release.attempt)
 	s.UserData = release
 	s.SendMessage(b.scratch, true)
--- a/internal/backend/grpc/watch.go
+++ b/internal/backend/grpc/watch.go
@@ -39,7 +39,7 @@
 	if w.conn == nil {
 		return
 	}
-	verdict, nextCheck := keepalive.Policy{LatencyTarget: w.checkInterval}.Check(now, keepalive.ConnStatus{
+	verdict, nextCheck := keepalive.Policy{PingTimeout: w.checkInterval}.Check(now, keepalive.ConnStatus{
 		Ready: true, StreamCount: 1, LastReceivedAt: w.lastReceivedAt,
 		LastPingAt: w.lastPingAt, PingsWithoutData: w.pingsWithoutData,
 	})
--- a/internal/decide/keepalive/keepalive.go
+++ b/internal/decide/keepalive/keepalive.go
@@ -29,25 +29,31 @@
 	CloseUnused                // close it, as it has been unused for too long
 )
 
-// Policy derives its timeouts for connections and load reports from the shortest configured latency target.
-type Policy struct{ LatencyTarget int64 }
+// Policy says when a silent connection is pinged and closed.
+type Policy struct {
+	// PingTimeout is how long a ping may be unacknowledged.
+	PingTimeout int64
+}
+
+// EnginePolicy is the policy of connections to engines. Its timeout allows for the retransmission of a lost packet or two.
+var EnginePolicy = Policy{PingTimeout: 1e9}
+
+// ReleaseTimeout is the timeout of the call that releases a KV state. The engine only has to note it.
+const ReleaseTimeout = int64(1e9)
 
 const (
-	// pingDelayDivisor divides the latency target into the silence after which a connection with attempts is pinged.
+	// pingDelayDivisor divides the ping timeout into the silence after which a connection with attempts is pinged.
 	pingDelayDivisor = 4
 	// maxPingsWithoutData is how many pings are sent at the short interval while the engine sends nothing but
 	// acknowledgements. Further ones are pingIntervalWithoutData nanoseconds apart: servers commonly close a connection
 	// at the fourth ping within five minutes in which they sent no data.
 	maxPingsWithoutData     = 2
 	pingIntervalWithoutData = int64(305e9)
-	// pingTimeoutTargets is how many latency targets a ping may be unacknowledged. That allows for the retransmission of
-	// a lost packet or two.
-	pingTimeoutTargets = 1
-	// unusedTimeoutTargets is how many latency targets a connection without attempts is kept open.
-	unusedTimeoutTargets = 60
-	// reportLifetimeTargets is the age, in latency targets, at which a load report is too old to be passed to package
-	// policy, which counts the age of a report only from then on.
-	reportLifetimeTargets = 1
+	// unusedTimeout is how long a connection without attempts is kept open.
+	unusedTimeout = int64(60e9)
+	// reportLifetime is the age at which a load report is too old to be passed to package policy, which counts the age of
+	// a report only from then on.
+	reportLifetime = int64(1e9)
 	// maxQueuedReleases bounds the releases that wait for a connection to one engine. KV state of further requests is
 	// held until the engine's own timeout.
 	maxQueuedReleases = 1024
@@ -55,25 +61,25 @@
 
 // FirstCheck returns when to check a connection that sends an attempt after having been unused. Its silence while it
 // was unused does not count.
-func (p Policy) FirstCheck(now int64) int64 { return now + p.LatencyTarget/pingDelayDivisor }
+func (p Policy) FirstCheck(now int64) int64 { return now + p.PingTimeout/pingDelayDivisor }
 
 // Check returns what to do with a connection now and, unless it is to be closed, when to check it again.
 func (p Policy) Check(now int64, conn ConnStatus) (verdict Verdict, checkAgainAt int64) {
 	switch {
 	case conn.LastPingAt > 0 && conn.LastReceivedAt < conn.LastPingAt:
-		return keepUntil(now, conn.LastPingAt+pingTimeoutTargets*p.LatencyTarget, CloseDead)
+		return keepUntil(now, conn.LastPingAt+p.PingTimeout, CloseDead)
 	case conn.StreamCount == 0 && conn.LastReceivedAt >= conn.LastSentAt:
 		// If no data has come since the last attempt was sent, the connection may be dead: it is pinged below.
-		return keepUntil(now, conn.LastUsedAt+unusedTimeoutTargets*p.LatencyTarget, CloseUnused)
+		return keepUntil(now, conn.LastUsedAt+unusedTimeout, CloseUnused)
 	}
-	interval := p.LatencyTarget / pingDelayDivisor
+	interval := p.PingTimeout / pingDelayDivisor
 	if conn.PingsWithoutData >= maxPingsWithoutData {
 		interval = pingIntervalWithoutData
 	}
 	if pingAt := max(conn.LastReceivedAt, conn.LastPingAt) + interval; now < pingAt {
 		return KeepConn, pingAt
 	}
-	return SendPing, now + pingTimeoutTargets*p.LatencyTarget
+	return SendPing, now + p.PingTimeout
 }
 
 // keepUntil returns KeepConn before the deadline and verdictAfter from then on.
@@ -85,9 +91,7 @@
 }
 
 // IsLoadReportFresh reports whether a load report of this age, in nanoseconds, may be passed to package policy.
-func (p Policy) IsLoadReportFresh(age int64) bool {
-	return age >= 0 && age < reportLifetimeTargets*p.LatencyTarget
-}
+func IsLoadReportFresh(age int64) bool { return age >= 0 && age < reportLifetime }
 
 // MayQueueRelease reports whether another release may wait for a connection to an engine when queued ones already do.
 func MayQueueRelease(queued int) bool { return queued < maxQueuedReleases }
--- a/internal/decide/keepalive/keepalive_test.go
+++ b/internal/decide/keepalive/keepalive_test.go
@@ -5,7 +5,7 @@
 // TestCheck checks the verdicts on a connection that goes silent.
 func TestCheck(t *testing.T) {
 	const second = int64(1e9)
-	p := Policy{LatencyTarget: second}
+	p := Policy{PingTimeout: second}
 	// Data was received at 10 s and a ping sent 250 ms later; in the other cases it was acknowledged at 11 s.
 	pinged := ConnStatus{StreamCount: 1, LastReceivedAt: 10 * second, LastPingAt: 10*second + second/4}
 	acknowledged := pinged
@@ -50,19 +50,18 @@
 }
 
 func TestIsLoadReportFresh(t *testing.T) {
-	p := Policy{LatencyTarget: 1000}
-	for age, want := range map[int64]bool{0: true, 999: true, 1000: false, 5000: false, -1: false} {
-		if got := p.IsLoadReportFresh(age); got != want {
+	for age, want := range map[int64]bool{0: true, 1e9 - 1: true, 1e9: false, 5e9: false, -1: false} {
+		if got := IsLoadReportFresh(age); got != want {
 			t.Errorf("report of age %d: fresh %v, want %v", age, got, want)
 		}
 	}
 }
 
-// TestSilentWhileIdle checks that a connection which dies while no attempt is outstanding is closed within two latency
-// targets of the next attempt, even if that attempt ends earlier.
+// TestSilentWhileIdle checks that a connection which dies while no attempt is outstanding is closed within two ping
+// timeouts of the next attempt, even if that attempt ends earlier.
 func TestSilentWhileIdle(t *testing.T) {
 	const second = int64(1e9)
-	p := Policy{LatencyTarget: second}
+	p := Policy{PingTimeout: second}
 	for _, streams := range []int{1, 0} {
 		conn := ConnStatus{
 			StreamCount: streams, LastReceivedAt: 10 * second, LastSentAt: 100 * second, LastUsedAt: 100 * second,
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -62,15 +62,6 @@
 	Incarnation uint64
 }
 
-// ShortestLatencyTarget returns the shortest target time to the first token of all classes.
-func (c *Config) ShortestLatencyTarget() int64 {
-	shortest := int64(c.Classes[0].LatencyTarget)
-	for _, class := range c.Classes {
-		shortest = min(shortest, int64(class.LatencyTarget))
-	}
-	return shortest
-}
-
 // Dispatcher is one dispatcher on one event loop. All of its state belongs to the loop's goroutine.
 type Dispatcher struct {
 	Counts Counts
--- a/internal/grpcnode/build.go
+++ b/internal/grpcnode/build.go
@@ -64,8 +64,8 @@
 		return nil, nil, err
 	}
 	dispatcher.Attach(server, backend.New(loop, dispatcher, log, &backend.Config{
-		LatencyTarget: dispatchConfig.ShortestLatencyTarget(), ConnectTimeout: int64(settings.Attempts.ConnectTimeout),
-		Limits: limits, List: list,
+		ConnectTimeout: int64(settings.Attempts.ConnectTimeout),
+		Limits:         limits, List: list,
 		Discovery: backend.DiscoveryConfig{
 			Addr: settings.Discovery.Watch, File: settings.Discovery.File, CacheFile: settings.Discovery.CacheFile,
 			MaxListInterval: int64(settings.Discovery.MaxListInterval),
