decide/pace: a queue that stands is kept short, as it serves nobody more

What callers would have seen: with waits as long as their time allows, a minute at twice the capacity (experiments/twice-the-capacity.json) let every served caller wait: half of the first tokens came after 3.5 s of 4, and 8 of 100 attempts ran out of time. As many were served as with short waits. Cause: offered more than the servers can do, a queue grows until it is as long as the callers' time; from then on each wait is that long, and nobody more is served for it. Change: decide/pace says so for policy and admission. A queue that has taken longer than the work of a request (100 ms at least) for a second, without having been empty, stands; until it is empty, who would wait longer than that is refused on arrival, with a Retry-After. Each waits beside all others, those within their quota beside each other, clients of serve beside their own by their share: who is served first makes no difference. A burst of under a second waits as before, and so does who finds no server at all, as no pace is known then. A request whose prompt was processed is not refused by it. Evidence: lab/simulation TestTwiceTheCapacity, seen failing with 'half of the first tokens after 3.512s of 4s'; TestStandingQueueIsKeptShort. Cost: under lasting overload servers idle a little more between requests; who is refused has time left, and may come back.

--- a/internal/decide/admission/fairqueue.go
+++ b/internal/decide/admission/fairqueue.go
@@ -162,12 +162,22 @@
 	if victim.request == nil && victim.reason != Queued {
 		return victim, victim.reason
 	}
-	if !reserved && q.estimatedWait(t, f, request.cost) > latestAdmission(request.Request)-now {
+	if !reserved && q.waitIsInVain(now, t, f, request) {
 		return victim, TooLate
 	}
 	return victim, Queued
 }
 
+// waitIsInVain reports whether a new request should not wait: if it could not be admitted early enough to be answered in
+// time, or if the queue stands and it would wait longer in its flow than the work of a request takes.
+func (q *fairQueue) waitIsInVain(now Nanos, t *tenant, f *flow, request pricedRequest) bool {
+	if q.estimatedWait(t, f, request.cost) > latestAdmission(request.Request)-now {
+		return true
+	}
+	q.throughput.ObserveQueue(now, q.waitingCost, request.Work)
+	return q.throughput.IsTooLong(q.costUntil(t, f, request.cost))
+}
+
 // capacity returns the number of waiting requests at which the queue is full for a new request. It is lower for one
 // without a reservation.
 func (q *fairQueue) capacity(reserved bool) int {
--- a/internal/decide/admission/wait.go
+++ b/internal/decide/admission/wait.go
@@ -1,14 +1,18 @@
 package admission
 
-// estimatedWait returns how long a new request of the given cost would wait in flow f of tenant t: the time in which
-// it and the requests ahead of it in its flow are admitted at the flow's share of the throughput, or in which all
-// waiting requests are admitted if that is less. It returns 0 without a measurement of the throughput. f is nil if the
-// flow does not exist yet.
+// estimatedWait returns how long a new request of the given cost would wait in flow f of tenant t. It returns 0 without
+// a measurement of the throughput, or if no request waits. f is nil if the flow does not exist yet.
 func (q *fairQueue) estimatedWait(t *tenant, f *flow, cost float64) Nanos {
-	throughput := q.throughput.CostPerNano()
-	if throughput <= 0 || len(q.requests) == 0 {
+	if len(q.requests) == 0 {
 		return 0
 	}
+	return q.throughput.Wait(q.costUntil(t, f, cost))
+}
+
+// costUntil returns the cost of all that is admitted until a new request of the given cost in flow f of tenant t is: it
+// and the requests ahead of it in its flow, divided by the flow's share of the throughput, or all waiting requests if
+// that is less. f is nil if the flow does not exist yet.
+func (q *fairQueue) costUntil(t *tenant, f *flow, cost float64) float64 {
 	flowCost, flowWeight := cost, 1.0
 	if f != nil {
 		flowWeight = f.weight
@@ -23,7 +27,7 @@
 		}
 	}
 	share := t.Weight / q.competingWeights(t) * flowWeight / (otherFlowWeights + flowWeight)
-	return Nanos(min(q.waitingCost+cost, flowCost/share) / throughput)
+	return min(q.waitingCost+cost, flowCost/share)
 }
 
 // competingWeights returns the sum of the weights of t and of the other tenants with waiting requests.
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -12,6 +12,17 @@
 // minMeasured is the time in nanoseconds over which work must have been done before there is a measurement.
 const minMeasured = memory / 64
 
+const (
+	// standingTime is how long, in nanoseconds, a queue must have been longer than needed before it stands. A shorter
+	// burst waits and is worked off.
+	standingTime = int64(1e9)
+	// minTolerance is the wait in nanoseconds that is not too long for any work: servers end their work unevenly, and
+	// would be idle in between without a short queue.
+	minTolerance = int64(100e6)
+	// usualMemory is the number of pieces of work over which their usual time is averaged.
+	usualMemory = 64
+)
+
 // Meter measures the cost of the work done per nanosecond while other work waits. Only then is it determined by the
 // capacity behind the queue rather than by the rate of arrivals. It counts the times between one piece of work and the
 // next: a pause in which nothing can be done says nothing of the pace after it. Older measurements decay with the time
@@ -22,15 +33,42 @@
 	lastDoneAt int64   // when work was last done, if hasLast
 	elapsed    float64 // nanoseconds counted, decayed
 	cost       float64 // cost of the work done in that time, decayed
+	usual      float64 // nanoseconds that the work usually takes itself, a moving average
+	longSince  int64   // since when the queue has been longer than needed; 0 = it is not
+	stands     bool    // has been for standingTime, and not been empty since
 }
 
 // SetWaiting records whether work waits.
 func (m *Meter) SetWaiting(waiting bool) {
 	if waiting != m.waiting {
-		m.waiting, m.hasLast = waiting, false
+		m.waiting, m.hasLast, m.longSince, m.stands = waiting, false, 0, false
+	}
+}
+
+// ObserveQueue records the cost of all work that waits, before more is added, and how long the new work usually takes
+// itself. A queue is longer than needed if it takes longer than the work of one request.
+func (m *Meter) ObserveQueue(now int64, cost float64, usual int64) {
+	m.usual += (float64(usual) - m.usual) / usualMemory
+	switch {
+	case m.stands:
+	case m.Wait(cost) <= m.tolerance():
+		m.longSince = 0
+	case m.longSince == 0:
+		m.longSince = max(now, 1)
+	default:
+		m.stands = now-m.longSince >= standingTime
 	}
 }
 
+// IsTooLong reports whether new work should not wait behind work of a cost. A queue that becomes empty now and then
+// bridges a burst. One that stands serves nobody more: each piece of work waits as long as the one before it, for as long
+// as the servers are offered more than they can do. It is then kept so short that nobody waits longer than the work of a
+// request usually takes.
+func (m *Meter) IsTooLong(cost float64) bool { return m.stands && m.Wait(cost) > m.tolerance() }
+
+// tolerance returns the wait that is not too long.
+func (m *Meter) tolerance() int64 { return max(int64(m.usual), minTolerance) }
+
 // Record records that work of a cost was done. It counts nothing while no work waits.
 func (m *Meter) Record(now int64, cost float64) {
 	if !m.waiting {
--- a/internal/decide/pace/pace_test.go
+++ b/internal/decide/pace/pace_test.go
@@ -44,3 +44,46 @@
 		}
 	}
 }
+
+// A caller who waits in a queue that stands waits for nothing: as many are served with a short one. A burst is worked
+// off, and those in it wait.
+func TestStandingQueueIsKeptShort(t *testing.T) {
+	const usual = 200 * millisecond
+	for _, c := range []struct {
+		name     string
+		arriving float64 // for each piece of work done
+		duration int64
+		stands   bool
+	}{
+		{"a burst", 3, 400 * millisecond, false},
+		{"as much as can be done", 1, 20000 * millisecond, false},
+		{"twice as much as can be done", 2, 20000 * millisecond, true},
+	} {
+		var m Meter
+		m.SetWaiting(true)
+		waiting, refused, longest := 5.0, 0, int64(0)
+		for now := int64(0); now < c.duration; now += 10 * millisecond { // one is done every 10 ms
+			m.Record(now, 1)
+			waiting--
+			for range int(c.arriving) {
+				m.ObserveQueue(now, waiting, usual)
+				if m.IsTooLong(waiting) {
+					refused++
+					continue
+				}
+				waiting++
+			}
+			if now > 5000*millisecond {
+				longest = max(longest, m.Wait(waiting))
+			}
+		}
+		if (refused > 0) != c.stands || longest > usual+20*millisecond {
+			t.Errorf("%s: %d refused, want some: %v; %d ms waited later on, want %d at most", c.name, refused, c.stands,
+				longest/millisecond, usual/millisecond+20)
+		}
+		m.SetWaiting(false)
+		if m.IsTooLong(1000) {
+			t.Errorf("%s: an empty queue still stands", c.name)
+		}
+	}
+}
--- a/internal/lab/simulation/simulation_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -293,3 +293,31 @@
 		}
 	}
 }
+
+// TestTwiceTheCapacity checks that a minute at twice the capacity ends in no collapse and loses nothing: the servers do
+// at least three quarters of what they can, nobody is left without an answer, and no queue grows until all in it wait
+// for most of the time that they have, as that serves not one caller more.
+func TestTwiceTheCapacity(t *testing.T) {
+	s, err := scenario.Load("../../../experiments/twice-the-capacity.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	report := run(t, s, nil)
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	const capacity = 34 * 60 // of two prefill servers in a minute
+	served, unanswered := 0, 0
+	var firstTokens []time.Duration
+	for _, summary := range report.Summaries {
+		served, unanswered = served+summary.Served, unanswered+summary.Unanswered
+		firstTokens = append(firstTokens, summary.FirstTokenTimes...)
+	}
+	slices.Sort(firstTokens)
+	median, timeout := firstTokens[len(firstTokens)/2], s.Classes[0].Timeout
+	if served < capacity*3/4 || unanswered > 0 || median > time.Duration(timeout)/2 {
+		t.Errorf("%d served of %d that could be, %d without an answer, half of the first tokens after %v of %v; "+
+			"want three quarters, none and half of the time", served, capacity, unanswered, median, time.Duration(timeout))
+	}
+	t.Logf("%d served of %d that could be, half of the first tokens within %v", served, capacity, median)
+}
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -19,8 +19,9 @@
 
 // waitingList holds the requests that wait for a server, in the order in which they are served.
 type waitingList struct {
-	slots []int32
-	cost  float64 // work of all of them
+	slots         []int32
+	cost          float64 // work of all of them
+	overQuotaCost float64 // work of those of tenants over their quota
 }
 
 // compareUrgency orders requests by the time at which their work has to begin, those of tenants over their quota after
@@ -45,17 +46,34 @@
 func (l *waitingList) add(entries []requestState, slot int32) {
 	if i, found := l.find(entries, slot); !found {
 		l.slots = slices.Insert(l.slots, i, slot)
-		l.cost += entries[slot].cost
+		l.addCost(&entries[slot], 1)
 	}
 }
 
 func (l *waitingList) remove(entries []requestState, slot int32) {
 	if i, found := l.find(entries, slot); found {
 		l.slots = slices.Delete(l.slots, i, i+1)
-		l.cost -= entries[slot].cost
+		l.addCost(&entries[slot], -1)
 	}
 }
 
+// addCost adds the work of a request to the sums, or subtracts it if sign is -1.
+func (l *waitingList) addCost(req *requestState, sign float64) {
+	l.cost += sign * req.cost
+	if req.overQuota {
+		l.overQuotaCost += sign * req.cost
+	}
+}
+
+// costForAll returns the work that a request shares the servers with, whoever is served first: that of all requests, but
+// that of tenants over their quota only for their own.
+func (l *waitingList) costForAll(req *requestState) float64 {
+	if req.overQuota {
+		return l.cost
+	}
+	return l.cost - l.overQuotaCost
+}
+
 // costAhead returns the work of the requests that are served before a request.
 func (l *waitingList) costAhead(entries []requestState, slot int32) float64 {
 	end, _ := l.find(entries, slot)
@@ -90,8 +108,23 @@
 	}
 }
 
-// startWaiting lets a request wait for a server, or gives it up if the work of the requests before it, at the pace at
-// which requests are sent, and its own take longer than its caller waits.
+// waitIsInVain reports whether a request should not begin to wait: if the work of the requests before it, at the pace at
+// which requests are sent, and its own take longer than its caller waits, or if the queue of those whose prompts have to
+// be processed stands.
+func (r *Router) waitIsInVain(now Nanos, req *requestState, costAhead float64) bool {
+	meter := &r.pace[req.phase]
+	if now+Nanos(meter.Wait(costAhead)) > req.startBy {
+		return true
+	}
+	if req.phase != awaitingPrefill {
+		return false
+	}
+	waiting := &r.waiting[req.phase]
+	meter.ObserveQueue(int64(now), waiting.cost, int64(r.workLeft(now, req)))
+	return meter.IsTooLong(waiting.costForAll(req))
+}
+
+// startWaiting lets a request wait for a server, or gives it up if it would wait in vain.
 func (r *Router) startWaiting(now Nanos, req *requestState) (Decision, bool) {
 	slot := r.requests.byID[req.ID]
 	list := &r.waiting[req.phase]
@@ -100,8 +133,7 @@
 		r.setUrgency(now, req)
 	}
 	if !req.isWaiting {
-		wait := Nanos(r.pace[req.phase].Wait(list.costAhead(r.requests.entries, slot)))
-		if now+wait > req.startBy {
+		if r.waitIsInVain(now, req, list.costAhead(r.requests.entries, slot)) {
 			return r.giveUp(now, req)
 		}
 		req.isWaiting = true
