policy, decide: comments in shape, unused code and parameters removed

workLeftAt and timeBehindQueue of policy/work.go were never used; removing a waiting request needs no time since the pace counts none of the wait.

--- a/internal/decide/admission/displacement.go
+++ b/internal/decide/admission/displacement.go
@@ -63,11 +63,11 @@
 }
 
 // displace removes a waiting request in favor of another. popDisplaced returns it later.
-func (q *fairQueue) displace(now Nanos, victim displacement) {
+func (q *fairQueue) displace(victim displacement) {
 	queued := victim.request
 	q.displacedRequests = append(q.displacedRequests, displacedRequest{queued.Request, queued.cost, victim.reason})
 	queued.flow.tenant.counts.Rejected[victim.reason]++
-	q.remove(now, queued)
+	q.remove(queued)
 }
 
 // popDisplaced removes and returns the request that was displaced first, and whether there is one.
--- a/internal/decide/admission/fairqueue.go
+++ b/internal/decide/admission/fairqueue.go
@@ -111,7 +111,7 @@
 		return verdict, advice
 	}
 	if victim.request != nil {
-		q.displace(now, victim)
+		q.displace(victim)
 	}
 	if t.RequestsPerSecond > 0 {
 		t.tokens--
@@ -168,8 +168,8 @@
 	return victim, Queued
 }
 
-// waitIsInVain reports whether a new request should not wait: if it could not be admitted early enough to be answered in
-// time, or if the queue stands and it would wait longer in its flow than the work of a request takes.
+// waitIsInVain reports whether a new request should not wait: if it could not be admitted early enough to be answered
+// in time, or if the queue stands and it would wait longer in its flow than the work of a request takes.
 func (q *fairQueue) waitIsInVain(now Nanos, t *tenant, f *flow, request pricedRequest) bool {
 	if q.estimatedWait(t, f, request.cost) > latestAdmission(request.Request)-now {
 		return true
@@ -217,7 +217,7 @@
 }
 
 // remove removes a waiting request from the queue. The caller must not use queued afterwards: its memory is reused.
-func (q *fairQueue) remove(now Nanos, queued *queuedRequest) {
+func (q *fairQueue) remove(queued *queuedRequest) {
 	f, t := queued.flow, queued.flow.tenant
 	f.requests.Remove(queued)
 	q.byExpiry.Remove(queued)
@@ -276,7 +276,7 @@
 	wait = now - queued.enqueuedAt
 	t.counts.recordAdmitted(queued, wait)
 	t.running++
-	q.remove(now, queued)
+	q.remove(queued)
 	return wait, true
 }
 
@@ -308,13 +308,13 @@
 }
 
 // cancel removes a request and reports whether it was waiting.
-func (q *fairQueue) cancel(now Nanos, id RequestID) bool {
+func (q *fairQueue) cancel(id RequestID) bool {
 	queued := q.requests[id]
 	if queued == nil {
 		return false
 	}
 	queued.flow.tenant.counts.Cancelled++
-	q.remove(now, queued)
+	q.remove(queued)
 	return true
 }
 
@@ -327,7 +327,7 @@
 	}
 	request, t, cost := queued.Request, queued.flow.tenant, queued.cost // remove reuses queued
 	t.counts.Rejected[reason]++
-	q.remove(now, queued)
+	q.remove(queued)
 	return q.reserveRetry(now, t, pricedRequest{&request, cost}, reason, 0)
 }
 
--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -207,8 +207,8 @@
 
 // Cancel removes a request whose client has left or whose deadline has passed. It reports whether the request was
 // waiting. PopDisplaced no longer returns a canceled request that was displaced.
-func (q *Queue) Cancel(now Nanos, id RequestID) bool {
-	if q.queueHolding(id).cancel(now, id) {
+func (q *Queue) Cancel(_ Nanos, id RequestID) bool {
+	if q.queueHolding(id).cancel(id) {
 		return true
 	}
 	q.background.dropDisplaced(id)
--- a/internal/decide/background/background.go
+++ b/internal/decide/background/background.go
@@ -105,8 +105,9 @@
 	}
 }
 
-// ObserveFirstToken decreases the limit if an interactive request has queued: its first token came later than queuedAfter
-// after its arrival, the time that its work takes at servers with idle capacity and a tolerance; 0 = unknown.
+// ObserveFirstToken decreases the limit if an interactive request has queued: its first token came later than
+// queuedAfter after its arrival, the time that its work takes at servers with idle capacity and a tolerance; 0 =
+// unknown.
 func (l *Limiter) ObserveFirstToken(now, timeToFirstToken, queuedAfter Nanos) {
 	if queuedAfter > 0 && timeToFirstToken > queuedAfter && l.inFlight > 0 {
 		l.decrease(now)
--- a/internal/decide/keepalive/keepalive.go
+++ b/internal/decide/keepalive/keepalive.go
@@ -35,7 +35,8 @@
 	PingTimeout int64
 }
 
-// EnginePolicy is the policy of connections to engines. Its timeout allows for the retransmission of a lost packet or two.
+// EnginePolicy is the policy of connections to engines. Its timeout allows for the retransmission of a lost packet or
+// two.
 var EnginePolicy = Policy{PingTimeout: 1e9}
 
 // ReleaseTimeout is the timeout of the call that releases a KV state. The engine only has to note it.
--- a/internal/decide/keepalive/throttle.go
+++ b/internal/decide/keepalive/throttle.go
@@ -36,6 +36,6 @@
 	return !t.IsActive() || outstanding < t.maxOutstanding
 }
 
-// MaxThrottleWait is how long, in nanoseconds, an attempt may wait for a RestartThrottle. It is short, as the request can
-// be sent to another engine, and KV state may be held for it meanwhile.
+// MaxThrottleWait is how long, in nanoseconds, an attempt may wait for a RestartThrottle. It is short, as the request
+// can be sent to another engine, and KV state may be held for it meanwhile.
 const MaxThrottleWait = int64(250e6)
--- a/internal/decide/pace/pace.go
+++ b/internal/decide/pace/pace.go
@@ -61,9 +61,9 @@
 }
 
 // IsTooLong reports whether new work should not wait behind work of a cost. A queue that becomes empty now and then
-// bridges a burst. One that stands serves nobody more: each piece of work waits as long as the one before it, for as long
-// as the servers are offered more than they can do. It is then kept so short that nobody waits longer than the work of a
-// request usually takes.
+// bridges a burst. One that stands serves nobody more: each piece of work waits as long as the one before it, for as
+// long as the servers are offered more than they can do. It is then kept so short that nobody waits longer than the
+// work of a request usually takes.
 func (m *Meter) IsTooLong(cost float64) bool { return m.stands && m.Wait(cost) > m.tolerance() }
 
 // tolerance returns the wait that is not too long.
--- a/internal/lab/simulation/simulation_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -275,7 +275,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			s.Duration = min(s.Duration, scenario.Duration(20*time.Second))
+			s.Duration = min(s.Duration, 20*time.Second)
 			for i := range s.Classes {
 				s.Classes[i].CancelShare = 0 // clients of the laboratory leave within their target
 			}
@@ -288,7 +288,8 @@
 				want = entries.Bytes()
 			}
 			if !bytes.Equal(entries.Bytes(), want) {
-				t.Errorf("%s: another day with %v times the latency target of class %s", filepath.Base(file), factor, s.Classes[0].Name)
+				t.Errorf("%s: another day with %v times the latency target of class %s", filepath.Base(file), factor,
+					s.Classes[0].Name)
 			}
 		}
 	}
@@ -315,9 +316,9 @@
 	}
 	slices.Sort(firstTokens)
 	median, timeout := firstTokens[len(firstTokens)/2], s.Classes[0].Timeout
-	if served < capacity*3/4 || unanswered > 0 || median > time.Duration(timeout)/2 {
+	if served < capacity*3/4 || unanswered > 0 || median > timeout/2 {
 		t.Errorf("%d served of %d that could be, %d without an answer, half of the first tokens after %v of %v; "+
-			"want three quarters, none and half of the time", served, capacity, unanswered, median, time.Duration(timeout))
+			"want three quarters, none and half of the time", served, capacity, unanswered, median, timeout)
 	}
 	t.Logf("%d served of %d that could be, half of the first tokens within %v", served, capacity, median)
 }
--- a/policy/callertime_test.go
+++ b/policy/callertime_test.go
@@ -251,7 +251,7 @@
 		}
 	}
 	if sent < 25 || late > 5 || early < 25 {
-		t.Errorf("%d sent, %d refused within a second, %d later; want 25 or more, 25 or more and 5 at most", sent, early, late)
+		t.Errorf("%d sent, %d refused within a second, %d later; want 25 or more, 25 or more, 5 at most", sent, early, late)
 	}
 }
 
@@ -316,7 +316,7 @@
 func TestTwiceTheCapacity(t *testing.T) {
 	rng := rand.New(rand.NewPCG(4, 0))
 	f := newPrefillFleet(t, nil, fairnessClass)
-	f.run(60e9, 2, rng, func() (ClassID, TenantID) { return 0, -1 })
+	f.run(2, rng, func() (ClassID, TenantID) { return 0, -1 })
 	asked, done, unanswered := 0.0, 0.0, 0
 	for _, request := range f.requests {
 		asked += float64(request.promptTokens)
--- a/policy/concurrency.go
+++ b/policy/concurrency.go
@@ -9,8 +9,8 @@
 )
 
 // concurrencyLimit bounds the outstanding attempts at the servers of a role, or the transfers over the link of a cell.
-// It adapts to whether they queue there. It guards against two effects of overload that reinforce themselves: prefixes that
-// are evicted while their sessions queue, and transfers that slow each other down until none ends in time.
+// It adapts to whether they queue there. It guards against two effects of overload that reinforce themselves: prefixes
+// that are evicted while their sessions queue, and transfers that slow each other down until none ends in time.
 type concurrencyLimit struct {
 	limit       float64 // 0 = not set yet; a limit below 1 means pauses between attempts
 	outstanding int32
--- a/policy/fairness_test.go
+++ b/policy/fairness_test.go
@@ -42,6 +42,7 @@
 	fairnessTokensPerSecond = 15000  // prompt tokens per second of one server
 	fairnessPromptTokens    = 2000.0 // mean length of a prompt
 	fairnessTimeout         = Nanos(6e9)
+	fairnessDuration        = Nanos(60e9)
 	fairnessRound           = Nanos(4e6)
 )
 
@@ -113,11 +114,11 @@
 	}
 }
 
-// run simulates requests for a duration, at a load relative to the capacity of the servers, and goes on until the
+// run simulates a minute of requests, at a load relative to the capacity of the servers, and goes on until the
 // deadlines of all have passed and all attempts have ended. drawOwner draws the class and tenant of a request.
-func (f *prefillFleet) run(duration Nanos, load float64, rng *rand.Rand, drawOwner func() (ClassID, TenantID)) {
+func (f *prefillFleet) run(load float64, rng *rand.Rand, drawOwner func() (ClassID, TenantID)) {
 	rate, due := load*fairnessServers*fairnessTokensPerSecond/fairnessPromptTokens, 0.0
-	for until := f.now + duration; f.now < until+fairnessTimeout || len(f.pending) > 0; f.now += fairnessRound {
+	for until := f.now + fairnessDuration; f.now < until+fairnessTimeout || len(f.pending) > 0; f.now += fairnessRound {
 		for len(f.pending) > 0 && f.pending[0].at <= f.now {
 			end := f.pending[0]
 			f.pending = f.pending[1:]
@@ -177,7 +178,7 @@
 	for _, c := range []struct{ load, minShare float64 }{{0.6, 2.0 / 3}, {0.9, 2.0 / 3}, {1.3, 1.0 / 2}} {
 		t.Run(fmt.Sprint(c.load), func(t *testing.T) {
 			f := newPrefillFleet(t, nil, fairnessClass)
-			f.run(60e9, c.load, rand.New(rand.NewPCG(1, 0)), func() (ClassID, TenantID) { return 0, -1 })
+			f.run(c.load, rand.New(rand.NewPCG(1, 0)), func() (ClassID, TenantID) { return 0, -1 })
 			var lengths []int64
 			sessions := map[SessionKey]bool{}
 			for _, request := range f.requests {
@@ -217,7 +218,7 @@
 	} {
 		rng := rand.New(rand.NewPCG(2, 0))
 		f := newPrefillFleet(t, nil, classes...)
-		f.run(60e9, 1.3, rng, func() (ClassID, TenantID) { return ClassID(rng.IntN(2)), -1 })
+		f.run(1.3, rng, func() (ClassID, TenantID) { return ClassID(rng.IntN(2)), -1 })
 		all := f.answeredShare(anyRequest)
 		for id := range classes {
 			got := f.answeredShare(func(request fairnessRequest) bool { return request.class == ClassID(id) })
@@ -236,7 +237,7 @@
 	rng := rand.New(rand.NewPCG(3, 0))
 	tenants := []Tenant{{RequestsPerSecond: capacity / 2}, {RequestsPerSecond: capacity / 2}}
 	f := newPrefillFleet(t, tenants, fairnessClass)
-	f.run(60e9, 1.5, rng, func() (ClassID, TenantID) {
+	f.run(1.5, rng, func() (ClassID, TenantID) {
 		if rng.IntN(4) == 0 {
 			return 0, 0
 		}
--- a/policy/latency.go
+++ b/policy/latency.go
@@ -42,7 +42,8 @@
 	return recent[int(q*float64(n-1))]
 }
 
-// latencyStats summarizes the recent latencies of first responses by role, as multiples of the service time of their work.
+// latencyStats summarizes the recent latencies of first responses by role, as multiples of the service time of their
+// work.
 type latencyStats struct {
 	samples    [roleCount]sampleRing
 	median     [roleCount]float64
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -47,7 +47,7 @@
 	cost               float64 // share of it in the work that waits
 	queueIndex         int32   // in the work queue
 	isWaiting          bool    // waits for a server
-	awaitsDecodeServer bool    // a state was released for want of a decode server: its prompt is read again once there is one
+	awaitsDecodeServer bool    // its prompt is read again once there is a decode server; see releaseToReadAnew
 	unreachable        bool    // cannot be reached in time behind the requests before it
 }
 
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -52,9 +52,9 @@
 	return r.timeLeft(now, req) < r.workLeft(now, req)
 }
 
-// attemptTimeout returns the timeout of an attempt. It leaves a retry the time that the work usually takes. Where there is
-// not enough time for two, or no retry is permitted, the attempt gets all of it but what is to be done afterwards. If
-// attempts cannot be canceled, it is also the time after which a server counts as stalled.
+// attemptTimeout returns the timeout of an attempt. It leaves a retry the time that the work usually takes. Where
+// there is not enough time for two, or no retry is permitted, the attempt gets all of it but what is to be done
+// afterwards. If attempts cannot be canceled, it is also the time after which a server counts as stalled.
 func (r *Router) attemptTimeout(now Nanos, req *requestState, to int32) Nanos {
 	remaining, work := req.Deadline-now, r.workLeft(now, req)
 	timeout := remaining
--- a/policy/waiting.go
+++ b/policy/waiting.go
@@ -65,8 +65,8 @@
 	}
 }
 
-// costForAll returns the work that a request shares the servers with, whoever is served first: that of all requests, but
-// that of tenants over their quota only for their own.
+// costForAll returns the work that a request shares the servers with, whoever is served first: that of all requests,
+// but that of tenants over their quota only for their own.
 func (l *waitingList) costForAll(req *requestState) float64 {
 	if req.overQuota {
 		return l.cost
@@ -108,9 +108,9 @@
 	}
 }
 
-// waitIsInVain reports whether a request should not begin to wait: if the work of the requests before it, at the pace at
-// which requests are sent, and its own take longer than its caller waits, or if the queue of those whose prompts have to
-// be processed stands.
+// waitIsInVain reports whether a request should not begin to wait: if the work of the requests before it, at the pace
+// at which requests are sent, and its own take longer than its caller waits, or if the queue of those whose prompts
+// have to be processed stands.
 func (r *Router) waitIsInVain(now Nanos, req *requestState, costAhead float64) bool {
 	meter := &r.pace[req.phase]
 	if now+Nanos(meter.Wait(costAhead)) > req.startBy {
--- a/policy/work.go
+++ b/policy/work.go
@@ -25,8 +25,8 @@
 	minQueueDelay = Nanos(100e6)
 )
 
-// serviceTime estimates how long servers without a queue take for a stage, as a linear function of the number of tokens.
-// It is fitted to the responses seen, by least squares in which samples above the line count less.
+// serviceTime estimates how long servers without a queue take for a stage, as a linear function of the number of
+// tokens. It is fitted to the responses seen, by least squares in which samples above the line count less.
 type serviceTime struct {
 	weight, tokens, time, tokensSquared, tokensTime float64 // decayed sums of the samples
 	count                                           int     // samples so far, up to minSamples
@@ -166,25 +166,6 @@
 	return r.usualTime(prefillStage, Prefill, tokens)
 }
 
-// workLeftAt returns how long the rest of a request usually takes if a server is sent it now, including the prompt
-// tokens that are queued there by this dispatcher's own account.
-func (r *Router) workLeftAt(now Nanos, req *requestState, srv *server) Nanos {
-	switch {
-	case req.phase == awaitingDecode:
-		return r.handOverTime(req.PromptTokens)
-	case srv.role == Prefill:
-		return r.timeBehindQueue(now, req, srv, prefillStage) + r.handOverTime(req.PromptTokens)
-	}
-	return r.timeBehindQueue(now, req, srv, combinedStage)
-}
-
-// timeBehindQueue returns how long a server usually takes to process the prompt of a request: as long as of late, or as
-// the prompt tokens take that this dispatcher has queued there, if that is longer.
-func (r *Router) timeBehindQueue(now Nanos, req *requestState, srv *server, s stage) Nanos {
-	tokens := r.uncachedTokens(now, req)
-	return max(r.usualTime(s, srv.role, tokens), r.work.serviceTime(s, srv.queuedTokens+tokens))
-}
-
 // timeLeft returns how long the caller of a request still waits, less the round in which an answer is given.
 func (r *Router) timeLeft(now Nanos, req *requestState) Nanos {
 	return req.Deadline - r.config.Responses.RoundInterval - now
--- a/policy/workqueue.go
+++ b/policy/workqueue.go
@@ -1,10 +1,11 @@
 package policy
 
-// workQueue holds the slots of the requests that need a decision: a binary heap by compareUrgency, so that a server goes
-// to the request whose caller has the least time left.
+// workQueue holds the slots of the requests that need a decision: a binary heap by compareUrgency, so that a server
+// goes to the request whose caller has the least time left.
 type workQueue struct{ slots []int32 }
 
-// enqueue adds a request to the work queue. If it is already there, it moves to its place after a change of its urgency.
+// enqueue adds a request to the work queue. If it is already there, it moves to its place after a change of its
+// urgency.
 func (t *requestTable) enqueue(slot int32) {
 	req := &t.entries[slot]
 	if !req.enqueued {
