serve: while the event loop is overloaded one request is admitted at a time

Cause: the number of admissions in an iteration was the same however long the last one took. Change: after an iteration that counts as overloaded one request is admitted. Cost: a slow loop takes more iterations for the same requests.

--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -6,9 +6,9 @@
 	"docksail/internal/decide/background"
 )
 
-// MaxAdmissionsPerIteration is how many requests may be admitted in one iteration of the event loop, so that the loop
+// maxAdmissionsPerIteration is how many requests may be admitted in one iteration of the event loop, so that the loop
 // can measure the duration of the iteration and read new input in between.
-const MaxAdmissionsPerIteration = 16
+const maxAdmissionsPerIteration = 16
 
 const (
 	// maxUnsent is the upper bound of the limit of unsent requests: those admitted and not yet sent to a server.
@@ -274,6 +274,15 @@
 	return queue.reserveRetry(now, t, newPricedRequest(&request), QueueFull, minDelay)
 }
 
+// MaxAdmissions returns how many requests may be admitted in an iteration of the event loop, after one that took the given
+// time. While the loop is overloaded, one at a time: KV states are held and streams wait for their events meanwhile.
+func (q *Queue) MaxAdmissions(lastIteration Nanos) int {
+	if lastIteration >= overloadedIteration {
+		return 1
+	}
+	return maxAdmissionsPerIteration
+}
+
 // ShedCount returns how many waiting requests should be rejected as Overloaded after an iteration of the event loop
 // that took the given time, while memoryUsed bytes are in use. A slow event loop delays every request, so waiting
 // requests are shed to protect the running ones. maxMemory is 0 if memory is not limited.
--- a/internal/decide/admission/queue_test.go
+++ b/internal/decide/admission/queue_test.go
@@ -332,3 +332,16 @@
 		t.Errorf("%d of 70 requests rejected with 5 s left, behind 20 that are sent in 0.2 s", rejected)
 	}
 }
+
+// TestOverloadedLoopAdmitsOneAtATime checks that after an iteration of the event loop that took too long one request is
+// admitted: those whose states are held, and who read streams, wait for the next iteration.
+func TestOverloadedLoopAdmitsOneAtATime(t *testing.T) {
+	q := newQueue(t, 10, TenantLimits{Weight: 1})
+	for iteration, want := range map[Nanos]int{
+		ms: maxAdmissionsPerIteration, overloadedIteration - 1: maxAdmissionsPerIteration, overloadedIteration: 1, sec: 1,
+	} {
+		if got := q.MaxAdmissions(iteration); got != want {
+			t.Errorf("after an iteration of %d ms %d may be admitted, want %d", iteration/ms, got, want)
+		}
+	}
+}
--- a/internal/dispatch/queuedadmission.go
+++ b/internal/dispatch/queuedadmission.go
@@ -53,7 +53,8 @@
 
 	unsent      []unsentRequest   // in the order of their admission
 	unsentWaits []eventloop.Nanos // scratch of canAdmit: how long each of unsent has waited since its admission
-	admitted    int               // requests admitted in this iteration of the loop
+	admitted    int               // requests admitted in this iteration of the loop ...
+	maxAdmitted int               // ... and how many may be
 
 	wakeupTimer eventloop.Timer
 	onWakeup    func(eventloop.Nanos)
@@ -151,8 +152,8 @@
 
 // iterationStarted sheds waiting requests if the loop lags or the heap exceeds its limit.
 func (a *queuedAdmission) iterationStarted(now eventloop.Nanos) {
-	a.admitted = 0
 	lag := a.dispatcher.loop.LastIterationDuration()
+	a.admitted, a.maxAdmitted = 0, a.queue.MaxAdmissions(lag)
 	for n := a.queue.ShedCount(lag, a.heap.bytesInUse(now), a.heap.maxBytes); n > 0; n-- {
 		id, ok := a.queue.NextToShed()
 		if !ok {
@@ -175,7 +176,7 @@
 	if !ok || !a.canAdmit(now) {
 		return false
 	}
-	if a.admitted == admission.MaxAdmissionsPerIteration {
+	if a.admitted >= a.maxAdmitted {
 		a.dispatcher.loop.SkipNextWait()
 		return false
 	}
