--- a/internal/lab/simulation/simulation_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -216,7 +216,8 @@
 }
 
 // TestFloodSimulated checks that fair queueing protects small clients from the flood of one client: their p99 stays
-// within eight times that without the flood, and nearly all their requests are on time, unlike with FIFO admission.
+// within eight times that without the flood, and nearly all their requests are on time. With FIFO admission that bound is
+// broken and fewer are on time.
 func TestFloodSimulated(t *testing.T) {
 	for seed := range int64(3) {
 		runChanged := func(change func(s *scenario.Script)) *userclient.Summary {
@@ -238,7 +239,8 @@
 		fifo := runChanged(func(s *scenario.Script) { s.FIFO = true })
 		t.Logf("p99 %v without the flood, %v with it, %v with it and FIFO admission; value shares %.3f and %.3f",
 			p99(calm), p99(fair), p99(fifo), fair.ValueShare(), fifo.ValueShare())
-		if p99(fair) > 8*p99(calm)+100*time.Millisecond || fair.ValueShare() < 0.97 || fifo.ValueShare() > 0.8 {
+		bound := 8*p99(calm) + 100*time.Millisecond
+		if p99(fair) > bound || fair.ValueShare() < 0.97 || p99(fifo) <= bound || fifo.ValueShare() >= fair.ValueShare() {
 			t.Errorf("seed %d: p99 %v, %v without the flood; value share %.3f, %.3f with FIFO admission",
 				50+seed, p99(fair), p99(calm), fair.ValueShare(), fifo.ValueShare())
 		}
