--- a/internal/decide/admission/queue.go
+++ b/internal/decide/admission/queue.go
@@ -274,8 +274,9 @@
 	return queue.reserveRetry(now, t, newPricedRequest(&request), QueueFull, minDelay)
 }
 
-// MaxAdmissions returns how many requests may be admitted in an iteration of the event loop, after one that took the given
-// time. While the loop is overloaded, one at a time: KV states are held and streams wait for their events meanwhile.
+// MaxAdmissions returns how many requests may be admitted in an iteration of the event loop, after one that took the
+// given time. While the loop is overloaded, one at a time: KV states are held and streams wait for their events
+// meanwhile.
 func (q *Queue) MaxAdmissions(lastIteration Nanos) int {
 	if lastIteration >= overloadedIteration {
 		return 1
--- a/internal/lab/simulation/simulation_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -216,8 +216,8 @@
 }
 
 // TestFloodSimulated checks that fair queueing protects small clients from the flood of one client: their p99 stays
-// within eight times that without the flood, and nearly all their requests are on time. With FIFO admission that bound is
-// broken and fewer are on time.
+// within eight times that without the flood, and nearly all their requests are on time. With FIFO admission that
+// bound is broken and fewer are on time.
 func TestFloodSimulated(t *testing.T) {
 	for seed := range int64(3) {
 		runChanged := func(change func(s *scenario.Script)) *userclient.Summary {
--- a/policy/work.go
+++ b/policy/work.go
@@ -114,9 +114,9 @@
 	return Nanos(fit.estimate(min(float64(tokens), fit.mostTokens)) * r.loadFactor(role))
 }
 
-// loadFactor returns how many times the service time attempts at the servers of a role take now: as many as of late, but
-// no more than the attempts of this dispatcher explain that are outstanding there. A queue that has been worked off says
-// nothing of the next request, and if all were refused for it, no response would ever show that.
+// loadFactor returns how many times the service time attempts at the servers of a role take now: as many as of late,
+// but no more than the attempts of this dispatcher explain that are outstanding there. A queue that has been worked
+// off says nothing of the next request, and if all were refused for it, no response would ever show that.
 func (r *Router) loadFactor(role Role) float64 {
 	outstanding := float64(r.roleLimits[role].outstanding) / max(r.counts.listed[role], 1)
 	return max(min(r.latency.median[role], 1+outstanding), 1)
