policy: an attempt of a deduplicated request leaves time for a repeat within its window

What callers saw: since an attempt leaves a retry the time of the work, one of a deduplicated class at a decode server that hangs got all of the time left, and its caller a rejection at the deadline, though the servers would have recognized a repeat. Cause: attemptTimeout asked whether a retry is permitted after a cancel, which a deduplicated request is not; after a timeout it is, within its window. Change: time for a repeat is left if the window still lasts then; if not, the attempt keeps all of it, as no repeat may follow. Evidence: TestAttemptLeavesARepeatItsTimeWithinTheWindow, seen failing with 8000 ms, want 7900.

--- a/policy/callertime_test.go
+++ b/policy/callertime_test.go
@@ -311,6 +311,31 @@
 	}
 }
 
+// A deduplicated request may be repeated while its servers remember the first run: an attempt at a decode server that
+// hangs leaves time for that, if the window lasts as long.
+func TestAttemptLeavesARepeatItsTimeWithinTheWindow(t *testing.T) {
+	for window, want := range map[Nanos]Nanos{10000 * ms: 7900 * ms, 1000 * ms: 8000 * ms} {
+		p := newCallerPlay(t, Class{
+			LatencyTarget: 1000 * ms, Timeout: 10000 * ms, Idempotency: Deduplicated, DedupWindow: window,
+		})
+		p.list(Prefill, Serving, 1)
+		p.list(Decode, Serving, 2)
+		for id := RequestID(1); id <= 4; id++ {
+			p.arrive(id, 0, 8000*ms)
+			p.end(id, 0, Prefilled, 200*ms, false)
+			if id <= 3 {
+				p.router.StreamStarted(p.now, id, 1, 100*ms)
+				p.end(id, 1, Served, 100*ms, true)
+			}
+		}
+		attempt := p.decisions[len(p.decisions)-1]
+		if attempt.Action != SendAttempt || attempt.Duration < want-10*ms || attempt.Duration > want+10*ms {
+			t.Errorf("window of %d ms: got %v for %d ms, want an attempt for %d", window/ms, attempt.Action,
+				attempt.Duration/ms, want/ms)
+		}
+	}
+}
+
 // A caller is not refused for a queue that has been worked off: after a burst that servers took two seconds to answer,
 // who has one second is sent, and served in 50 ms.
 func TestBurstThatIsOverRefusesNobody(t *testing.T) {
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -61,7 +61,7 @@
 	if req.phase == awaitingPrefill && r.servers[to].role == Prefill {
 		timeout -= r.handOverTime(req.PromptTokens)
 	}
-	if remaining >= 2*work && r.mayRetryAfterCancel(req) {
+	if remaining >= 2*work && (r.mayRetryAfterCancel(req) || r.mayRepeatAt(now, req, now+remaining-work)) {
 		timeout = remaining - work
 	}
 	if !r.config.Attempts.CanCancel {
@@ -70,6 +70,18 @@
 	return timeout
 }
 
+// mayRepeatAt reports whether the outstanding attempt of a deduplicated request, which was sent now, may be followed by
+// another at a time: the servers still remember the first run then.
+func (r *Router) mayRepeatAt(now Nanos, req *requestState, at Nanos) bool {
+	class := &r.config.Classes[req.Class]
+	firstRunAt := now
+	if req.mayHaveRun {
+		firstRunAt = req.firstRunAt
+	}
+	return class.Idempotency == Deduplicated && req.attempts < r.config.Attempts.MaxAttempts &&
+		at < firstRunAt+class.DedupWindow
+}
+
 // giveUp ends a request: it first releases a held KV state, then gives the final answer. This is a failure if an
 // attempt is still outstanding at the deadline or a retry by the client may do harm, and a rejection otherwise.
 func (r *Router) giveUp(now Nanos, req *requestState) (Decision, bool) {
